--- /dev/null
+++ b/stileloft/__init__.py
@@ -0,0 +1,3 @@
+"""stileloft, a cluster scheduler."""
+
+__version__ = "0.1.0"
--- /dev/null
+++ b/stileloft/__main__.py
@@ -0,0 +1,7 @@
+"""`python -m stileloft`, the same command line as run.py."""
+
+import sys
+
+from stileloft.cli import main
+
+sys.exit(main())
--- /dev/null
+++ b/stileloft/bookkeeping/model.py
@@ -0,0 +1,258 @@
+"""The leader's picture: jobs, their tasks' placements, machines."""
+
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+from typing import Any
+
+from stileloft.bookkeeping import records
+from stileloft.protocol.messages import JobSpec, MachineType, job_from_wire, job_to_wire
+
+TaskKey = tuple[str, int]
+
+PLANNED, BOUND, ENDED = "planned", "bound", "ended"
+
+
+@dataclass(slots=True)
+class Placement:
+    """A task on a machine, from the plan until the store no longer holds it."""
+
+    job: str
+    index: int
+    attempt: int
+    machine: str
+    zone: str
+    spot: bool
+    state: str = BOUND
+    seen: str | None = None
+    """The task's state in the machine's newest trusted report."""
+    sent_session: int | None = None
+    """The session in which we last sent its start; None if we never did."""
+    running_since: float | None = None
+    bound_at: float = 0.0
+    done: bool = False
+    """With ENDED: the task completed, rather than having to run again."""
+    stop_grace: float | None = None
+    """Not None: it is to be stopped, with this much time to save."""
+    stop_at: float = 0.0
+    saves: bool = False
+
+    @property
+    def key(self) -> TaskKey:
+        return self.job, self.index
+
+    @property
+    def task(self) -> str:
+        return f"{self.job}/{self.index}"
+
+
+@dataclass(slots=True)
+class Chunk:
+    """A run of task numbers, as its record in the store."""
+
+    version: int = 0
+    attempt: int = 0
+    done: set[int] = field(default_factory=set)
+    placements: dict[int, Placement] = field(default_factory=dict)
+    dirty: bool = False
+    stored: bool = False
+
+    def record(self, spec: JobSpec) -> dict[str, Any]:
+        return {
+            "r": [spec.team, spec.cpus, spec.gpus or 0.0, spec.memory_gb],
+            "a": self.attempt,
+            "d": records.to_ranges(self.done | {i for i, p in self.placements.items()
+                                                if p.state == ENDED and p.done}),
+            "p": {str(i): [p.attempt, p.machine, p.zone, 1 if p.spot else 0]
+                  for i, p in self.placements.items() if p.state != ENDED},
+        }
+
+
+class Job:
+    """An accepted job, or what is left of a cancelled one."""
+
+    def __init__(self, spec: JobSpec, submitted: float, size: int) -> None:
+        self.spec = spec
+        self.submitted = submitted
+        """Time of day of acceptance, in seconds."""
+        self.size = size
+        self.version = 0
+        self.chunks: dict[int, Chunk] = {}
+        self.done_chunks: set[int] = set()
+        self.done = 0
+        self.placed = 0
+        self.over: str | None = None
+        """`done` or `cancelled` once the store says so."""
+        self.busy = False
+        """A transaction about this job is under way, or its outcome is unknown."""
+        self.reload = False
+        self.dirty = False
+        self.counts_stored = (0, 0)
+        self.counts_at = 0.0
+        self.errors: set[str] = set()
+        self.error_count = 0
+        self.not_before = 0.0
+        self.served_s = 0.0
+        self.zones: dict[str, int] = {}
+        self.ages: dict[int, float] = {}
+
+    @property
+    def id(self) -> str:
+        return self.spec.id
+
+    @property
+    def waiting(self) -> int:
+        """Tasks that are neither done nor placed."""
+        return 0 if self.over else self.spec.tasks - self.done - self.placed
+
+    def chunk_length(self, number: int) -> int:
+        return min(self.size, self.spec.tasks - number * self.size)
+
+    def chunk_count(self) -> int:
+        return -(-self.spec.tasks // self.size)
+
+    def chunk_of(self, index: int) -> Chunk:
+        return self.chunks.setdefault(index // self.size, Chunk())
+
+    def placement(self, index: int) -> Placement | None:
+        chunk = self.chunks.get(index // self.size)
+        return chunk.placements.get(index) if chunk else None
+
+    def free_tasks(self, limit: int) -> list[int]:
+        found: list[int] = []
+        for number in range(self.chunk_count()):
+            if number in self.done_chunks:
+                continue
+            chunk = self.chunks.get(number)
+            first = number * self.size
+            for index in range(first, first + self.chunk_length(number)):
+                if chunk is None or (index not in chunk.done and index not in chunk.placements):
+                    found.append(index)
+                    if len(found) >= limit:
+                        return found
+        return found
+
+    def add(self, placement: Placement) -> None:
+        self.chunk_of(placement.index).placements[placement.index] = placement
+        self.placed += 1
+        self.zones[placement.zone] = self.zones.get(placement.zone, 0) + 1
+
+    def remove(self, placement: Placement) -> None:
+        del self.chunk_of(placement.index).placements[placement.index]
+        self.placed -= 1
+        self.zones[placement.zone] -= 1
+
+    def placements(self) -> Iterator[Placement]:
+        for chunk in self.chunks.values():
+            yield from chunk.placements.values()
+
+    def running(self) -> int:
+        return sum(1 for p in self.placements() if p.state == BOUND and p.seen in ("running", "saving", "flushing"))
+
+    def record(self) -> dict[str, Any]:
+        return {
+            "s": job_to_wire(self.spec),
+            "t": self.submitted,
+            "f": records.to_ranges(self.done_chunks),
+            "c": [self.done, self.running()],
+        }
+
+    def load_active(self, value: dict[str, Any], version: int) -> None:
+        self.version = version
+        self.done_chunks = records.from_ranges(value["f"])
+        self.counts_stored = tuple(value["c"])  # type: ignore[assignment]
+
+    def load_chunk(self, number: int, value: dict[str, Any], version: int) -> None:
+        """Takes the store's word for a chunk, keeping what is known of unchanged placements."""
+        before = self.chunks.get(number)
+        chunk = Chunk(version=version, attempt=value["a"], done=records.from_ranges(value["d"]), stored=True)
+        for text, (attempt, machine, zone, spot) in value["p"].items():
+            index = int(text)
+            known = before.placements.get(index) if before else None
+            if known is not None and known.attempt == attempt and known.machine == machine:
+                if known.state == PLANNED:
+                    known.state = BOUND
+                chunk.placements[index] = known
+            else:
+                chunk.placements[index] = Placement(self.id, index, attempt, machine, zone, bool(spot))
+        self.chunks[number] = chunk
+
+    def recount(self) -> None:
+        self.placed = sum(len(chunk.placements) for chunk in self.chunks.values())
+        self.zones = {}
+        for placement in self.placements():
+            self.zones[placement.zone] = self.zones.get(placement.zone, 0) + 1
+        self.done = sum(self.chunk_length(number) for number in self.done_chunks)
+        self.done += sum(len(chunk.done) for chunk in self.chunks.values())
+
+
+def job_from_record(value: dict[str, Any], version: int, size: int) -> Job:
+    job = Job(job_from_wire(value["s"]), value["t"], size)
+    job.load_active(value, version)
+    return job
+
+
+def orphan_spec(job: str, resources: list[Any]) -> JobSpec:
+    """Enough of a cancelled job's description to count what is left of it."""
+    team, cpus, gpus, memory_gb = resources
+    return JobSpec(id=job, job_class="-", team=team, kind="array", priority="idle", tasks=100_000, cpus=cpus,
+                   gpus=gpus, memory_gb=memory_gb, image="-", image_gb=0.0, estimate_s=0.0)
+
+
+@dataclass(slots=True)
+class Stray:
+    """A task on a machine that the store does not place there."""
+
+    attempt: int
+    cpus: float
+    gpus: float
+    memory_gb: float
+    team: str
+
+
+@dataclass(slots=True)
+class Machine:
+    id: str
+    type: str = ""
+    zone: str = ""
+    spot: bool = False
+    address: str = ""
+    session: int = 0
+    seq: int = 0
+    trusted: bool = False
+    """Its newest report carries our own token."""
+    reported: bool = False
+    heard_at: float = 0.0
+    answered_at: float | None = None
+    """When the last report that we answered came in."""
+    first_seen: float = 0.0
+    up_since: float | None = None
+    rented_at: float = 0.0
+    notice_until: float | None = None
+    listed: bool = False
+    listed_state: str = ""
+    releasing: bool = False
+    draining: str | None = None
+    """Why nothing more is started here."""
+    placements: dict[TaskKey, Placement] = field(default_factory=dict)
+    strays: dict[str, Stray] = field(default_factory=dict)
+    forgets: dict[str, int] = field(default_factory=dict)
+    images: dict[str, float] = field(default_factory=dict)
+    sending: bool = False
+    send_failures: int = 0
+    retry_at: float = 0.0
+    uncertain_session: int | None = None
+    """A start sent in this session may still be executed: nothing is forgotten in it."""
+    errors: set[str] = field(default_factory=set)
+    error_count: int = 0
+    idle_since: float | None = None
+    speed_samples: list[float] = field(default_factory=list)
+
+
+def fits_type(spec: JobSpec, kind: MachineType) -> bool:
+    return (
+        (spec.types is None or kind.name in spec.types)
+        and spec.cpus <= kind.cpus
+        and (spec.gpus or 0.0) <= kind.gpus
+        and spec.memory_gb <= kind.memory_gb
+        and (spec.zone is None or spec.zone in kind.zones)
+    )
--- /dev/null
+++ b/stileloft/coordination/__init__.py
@@ -0,0 +1,1 @@
+"""Who leads, and what the leader decides and does."""
--- /dev/null
+++ b/stileloft/coordination/admission.py
@@ -0,0 +1,150 @@
+"""What users ask for, straight on the store, on every node alike."""
+
+import logging
+from collections import OrderedDict
+from typing import Any, Protocol
+
+
+from stileloft.bookkeeping import records
+from stileloft.bookkeeping.model import fits_type
+from stileloft.protocol.messages import JobSpec, MachineType, job_to_wire, state_answer
+from stileloft.protocol.state import Budget, Conflict, StateClient, Unavailable, Unknown
+from stileloft.settings import Team
+from stileloft.transport.clock import Clock
+
+log = logging.getLogger(__name__)
+
+FINAL_CACHE = 5000
+
+
+class Catalog(Protocol):
+    """Where the machine types are to be had."""
+
+    types: dict[str, MachineType]
+
+
+class NotDecidable(Exception):
+    """The request cannot be taken now; the user is to come back."""
+
+    def __init__(self, reason: str, retry_after_s: float = 1.0) -> None:
+        super().__init__(reason)
+        self.retry_after_s = retry_after_s
+
+
+class Impossible(Exception):
+    """The job can never run; the text says why."""
+
+
+def why_impossible(spec: JobSpec, teams: dict[str, Team], types: dict[str, MachineType]) -> str | None:
+    team = teams.get(spec.team)
+    if team is None:
+        return f"unknown team {spec.team!r}"
+    if not any(fits_type(spec, kind) for kind in types.values()):
+        return "a task fits no allowed machine type"
+    if (team.cpus_max and spec.cpus > team.cpus_max) or (team.gpus_max and (spec.gpus or 0) > team.gpus_max):
+        return "a task needs more than the team's limit"
+    return None
+
+
+class Admission:
+    """Submissions, states and cancellations.
+
+    Records only move from `active/` to `final/`, so readers look in that order;
+    whatever is told to a user has been committed before.
+    """
+
+    def __init__(self, clock: Clock, state: StateClient, teams: dict[str, Team], catalog: Catalog,
+                 reads: Budget, writes: Budget, wall: Any) -> None:
+        self._clock = clock
+        self._state = state
+        self._teams = teams
+        self._catalog = catalog
+        self._reads = reads
+        self._writes = writes
+        self._wall = wall
+        # Only final answers may come from memory: nothing can make them older.
+        self._final: OrderedDict[str, dict[str, Any]] = OrderedDict()
+
+    async def submit(self, spec: JobSpec) -> tuple[bool, dict[str, Any]]:
+        """Whether the job is new, and its state. Returns only after the commit."""
+        known = self._final.get(spec.id)
+        if known is not None:
+            return False, known
+        if not self._catalog.types:
+            raise NotDecidable("the machine types are not known yet")
+        reason = why_impossible(spec, self._teams, self._catalog.types)
+        if reason is not None:
+            # A known job is told its state, whatever has changed since it was accepted.
+            known = await self.status(spec.id)
+            if known is not None:
+                return False, known
+            raise Impossible(reason)
+        self._spend(self._writes, 1.0)
+        active, final = records.active_key(spec.id), records.final_key(spec.id)
+        value = {"s": job_to_wire(spec), "t": self._wall(), "f": [], "c": [0, 0]}
+        try:
+            await self._state.commit({active: 0, final: 0}, {active: value}, [])
+        except Conflict:
+            known = await self.status(spec.id)
+            if known is None:
+                raise NotDecidable("the job's record is changing") from None
+            return False, known
+        except (Unavailable, Unknown) as error:
+            raise NotDecidable(f"state service: {error}") from None
+        log.info("job %s accepted: %d tasks of class %s for %s", spec.id, spec.tasks, spec.job_class, spec.team)
+        return True, state_answer(spec.id, "queued")
+
+    async def status(self, job: str) -> dict[str, Any] | None:
+        """The job's state, or None if the store says that it was never accepted."""
+        known = self._final.get(job)
+        if known is not None:
+            return known
+        self._spend(self._reads, 1.0)
+        try:
+            found = await self._state.get(records.active_key(job))
+            if found is not None:
+                done, running = found[0]["c"]
+                return state_answer(job, "running" if running else "queued", done, running)
+            return await self._ended(job)
+        except (Unavailable, Unknown) as error:
+            raise NotDecidable(f"state service: {error}") from None
+
+    async def _ended(self, job: str) -> dict[str, Any] | None:
+        found = await self._state.get(records.final_key(job))
+        if found is None:
+            return None
+        value = found[0]
+        answer = state_answer(job, value["phase"], value["n"], 0)
+        self._final[job] = answer
+        if len(self._final) > FINAL_CACHE:
+            self._final.popitem(last=False)
+        return answer
+
+    async def cancel(self, job: str) -> dict[str, Any] | None:
+        """The final state after the cancellation, or None for a job that was never accepted."""
+        known = self._final.get(job)
+        if known is not None:
+            return known
+        self._spend(self._writes, 2.0)
+        active, final = records.active_key(job), records.final_key(job)
+        try:
+            # The leader may rewrite the record between the read and the commit.
+            for _ in range(4):
+                found = await self._state.get(active)
+                if found is None:
+                    return await self._ended(job)
+                try:
+                    await self._state.commit({active: found[1], final: 0},
+                                             {final: records.final_record("cancelled", 0)}, [active])
+                except Conflict:
+                    continue
+                log.info("job %s cancelled", job)
+                return await self._ended(job)
+        except (Unavailable, Unknown) as error:
+            raise NotDecidable(f"state service: {error}") from None
+        raise NotDecidable("the job's record keeps changing")
+
+    @staticmethod
+    def _spend(budget: Budget, amount: float) -> None:
+        if not budget.take(amount):
+            raise NotDecidable("too many requests", 1.0)
--- /dev/null
+++ b/stileloft/coordination/dispatch.py
@@ -0,0 +1,237 @@
+"""The leader's talk with workers: what reports tell, and which commands go out."""
+
+import logging
+from typing import TYPE_CHECKING, Any
+
+from twisted.internet import defer
+
+from stileloft.bookkeeping import records
+from stileloft.bookkeeping.model import BOUND, ENDED, Machine, Placement, Stray
+from stileloft.protocol import messages
+from stileloft.protocol.messages import Report, TaskReport
+from stileloft.protocol.workers import NotDelivered, Uncertain
+
+if TYPE_CHECKING:
+    from stileloft.coordination.leader import Term
+
+log = logging.getLogger(__name__)
+
+# Commands in one message; a body may hold 64 KiB.
+MAX_COMMANDS = 200
+# Repeats and retries, as parts of the report interval.
+REPEAT_STOP = 1.0
+RETRY = 0.4
+
+
+class Dispatch:
+    def __init__(self, term: "Term") -> None:
+        self.term = term
+        self.report_s = term.settings.workers.report_s
+
+    # -- reports --------------------------------------------------------------
+
+    def observe(self, report: Report) -> Machine:
+        """Takes in a report, unless a newer one is known."""
+        term = self.term
+        now = term.clock.seconds()
+        machine = term.machine(report.machine)
+        if machine.reported and (report.session, report.seq) <= (machine.session, machine.seq):
+            return machine
+        machine.heard_at = now
+        if not machine.reported or report.address != machine.address:
+            machine.address = report.address
+        machine.type, machine.zone, machine.spot = report.type, report.zone, report.spot
+        if machine.up_since is None:
+            machine.up_since = now
+            log.info("machine %s is up: %s in %s%s", machine.id, machine.type, machine.zone,
+                     ", spot" if machine.spot else "")
+            term.poke()
+        new_session = report.session != machine.session
+        machine.session, machine.seq = report.session, report.seq
+        was_trusted = machine.trusted
+        machine.trusted = report.token == term.token
+        machine.reported = True
+        if machine.trusted and not was_trusted:
+            term.poke()
+        if new_session:
+            machine.uncertain_session = None
+            machine.forgets.clear()
+            machine.strays.clear()
+        if report.notice_s is not None:
+            if machine.notice_until is None:
+                log.info("machine %s will be taken away in %.1f s", machine.id, report.notice_s)
+                machine.notice_until = now + report.notice_s
+                machine.draining = "taken away"
+                term.poke()
+        if machine.trusted:
+            self._take_tasks(machine, report.tasks, now)
+        machine.idle_since = None if machine.placements or machine.strays else (machine.idle_since or now)
+        return machine
+
+    def _take_tasks(self, machine: Machine, tasks: list[TaskReport], now: float) -> None:
+        term = self.term
+        unseen = dict(machine.placements)
+        strays: dict[str, Stray] = {}
+        for task in tasks:
+            key = records.split_task(task.task)
+            placement = machine.placements.get(key)
+            if placement is not None and placement.attempt == task.attempt:
+                unseen.pop(key, None)
+                if placement.state != ENDED:
+                    self._take_state(machine, placement, task, now)
+            elif task.state == "exited":
+                machine.forgets[task.task] = task.attempt
+            else:
+                strays[task.task] = self._stray(key[0], task)
+        for task_id in machine.strays.keys() - strays.keys():
+            term.stray_tasks.pop(task_id, None)
+            term.poke()
+        for task_id in strays:
+            if task_id not in machine.strays:
+                log.info("task %s on %s is not ours to run there: stopping it", task_id, machine.id)
+            term.stray_tasks[task_id] = machine.id
+        machine.strays = strays
+        for placement in unseen.values():
+            placement.seen = None
+            if (placement.state == BOUND and placement.sent_session is not None
+                    and placement.sent_session < machine.session):
+                # Sessions kill their tasks when they end, and starts sent in one fail in the next.
+                term.end(placement, "its session is over")
+            elif placement.state == BOUND and placement.sent_session is None and (
+                    machine.draining or placement.stop_grace is not None):
+                # The worker knows our token, so no older leader's start can be executed any more.
+                term.end(placement, "it was not started")
+
+    def _stray(self, job_id: str, task: TaskReport) -> Stray:
+        job = self.term.jobs.get(job_id)
+        if job is None:
+            return Stray(task.attempt, 0.0, 0.0, 0.0, "")
+        spec = job.spec
+        return Stray(task.attempt, spec.cpus, spec.gpus or 0.0, spec.memory_gb, spec.team)
+
+    def _take_state(self, machine: Machine, placement: Placement, task: TaskReport, now: float) -> None:
+        term = self.term
+        if task.state != "exited":
+            if placement.seen != task.state:
+                placement.seen = task.state
+                job = term.jobs.get(placement.job)
+                if task.state == "running":
+                    if placement.running_since is None:
+                        placement.running_since = now
+                    if job is not None:
+                        machine.images[job.spec.image] = job.spec.image_gb
+                        term.dirty.add(job.id)
+                        term.ledger.later(0.25)
+            return
+        placement.seen = "exited"
+        if task.why == "done":
+            term.completed(machine, placement, now)
+            return
+        if task.why == "error":
+            term.failed(machine, placement)
+        elif task.why == "full":
+            log.info("task %s did not fit on %s", placement.task, machine.id)
+            term.avoid(placement, machine.id, 2 * self.report_s)
+        elif task.why == "no_such":
+            log.info("task %s is not known to %s", placement.task, machine.id)
+            term.delay(placement.job, self.report_s / 2)
+        elif task.why == "in_use":
+            log.info("task %s is on %s with another attempt", placement.task, machine.id)
+        term.end(placement, task.why or "exited")
+
+    def on_report(self, report: Report) -> dict[str, Any]:
+        """Takes in a report that a worker sent, and answers it."""
+        term = self.term
+        machine = self.observe(report)
+        machine.answered_at = term.clock.seconds()
+        commands: list[dict[str, Any]] = []
+        if machine.trusted and machine.session == report.session and term.confirmed():
+            commands = self._stops(machine) + self._forgets(machine)
+        if machine.trusted and not machine.sending and self._starts(machine):
+            self.send(machine)
+        elif not machine.trusted:
+            self.send(machine)
+        return messages.orders(term.token, commands[:MAX_COMMANDS])
+
+    # -- commands ---------------------------------------------------------------
+
+    def _starts(self, machine: Machine) -> list[Placement]:
+        """Placements whose task has to be started, or whose start has to be repeated."""
+        term = self.term
+        if not term.confirmed() or not machine.trusted or machine.releasing:
+            return []
+        return [p for p in machine.placements.values()
+                if p.state == BOUND and p.seen is None and p.stop_grace is None and not term.is_over(p.job)]
+
+    def _stops(self, machine: Machine) -> list[dict[str, Any]]:
+        now = self.term.clock.seconds()
+        commands = []
+        for placement in machine.placements.values():
+            if (placement.stop_grace is not None and placement.state == BOUND
+                    and now >= placement.stop_at + REPEAT_STOP * self.report_s):
+                if placement.seen is None and placement.sent_session is None:
+                    continue
+                placement.stop_at = now
+                commands.append(messages.stop(placement.task, placement.attempt, placement.stop_grace))
+        for task, stray in machine.strays.items():
+            commands.append(messages.stop(task, stray.attempt, 0.0))
+        return commands
+
+    def _forgets(self, machine: Machine) -> list[dict[str, Any]]:
+        """Exited tasks that the store no longer places here.
+
+        None while a start may still be executed: it would run a forgotten attempt again.
+        """
+        if machine.sending or machine.uncertain_session == machine.session:
+            return []
+        commands = [messages.forget(task, attempt) for task, attempt in list(machine.forgets.items())[:MAX_COMMANDS]]
+        machine.forgets.clear()  # what is reported again is forgotten again
+        return commands
+
+    def send(self, machine: Machine) -> None:
+        """Sends what the machine has to do, one message at a time."""
+        term = self.term
+        now = term.clock.seconds()
+        if machine.sending or not machine.address or now < machine.retry_at or not term.confirmed():
+            return
+        starts = self._starts(machine)[:MAX_COMMANDS]
+        commands = self._stops(machine) + self._forgets(machine)
+        commands += [messages.start(p.task, p.attempt) for p in starts]
+        if not commands and machine.trusted:
+            return
+        machine.sending = True
+        session = machine.session or 1
+        for placement in starts:
+            placement.sent_session = session
+        defer.ensureDeferred(self._send(machine, session, commands, starts))
+
+    async def _send(self, machine: Machine, session: int, commands: list[dict[str, Any]],
+                    starts: list[Placement]) -> None:
+        term = self.term
+        try:
+            executed, report = await term.workers.command(machine.address, term.token, session, commands)
+        except (NotDelivered, Uncertain) as error:
+            machine.sending = False
+            if isinstance(error, Uncertain) and starts:
+                machine.uncertain_session = session
+            machine.send_failures += 1
+            machine.retry_at = term.clock.seconds() + RETRY * self.report_s * min(4, machine.send_failures)
+            log.info("commands to %s: %s", machine.id, error)
+            return
+        machine.sending = False
+        if not term.alive:
+            return
+        machine.send_failures = 0
+        if report.token > term.token:
+            term.depose(f"{machine.id} knows token {report.token}")
+            return
+        with term.lock:
+            self.observe(report)
+        if not executed and session != machine.session:
+            self.send(machine)
+        elif self._starts(machine) or machine.trusted and any(
+                p.stop_grace is not None and p.stop_at == 0.0 for p in machine.placements.values()):
+            term.clock.callLater(RETRY * self.report_s, self.send, machine)
+        term.after_report()
+
+
--- /dev/null
+++ b/stileloft/coordination/election.py
@@ -0,0 +1,138 @@
+"""Who leads: the key `leader` on a lease of the state service; its version is the token."""
+
+import logging
+from collections.abc import Callable
+from typing import Any
+
+from twisted.internet import defer
+
+from stileloft.bookkeeping import records
+from stileloft.protocol.state import Compacted, Conflict, LeaseGone, StateClient, Unavailable, Unknown
+
+log = logging.getLogger(__name__)
+
+# Steady clocks drift apart by up to this part.
+DRIFT = 0.0005
+
+
+class Election:
+    """Seeks the leadership, keeps it, and knows for how long it is confirmed."""
+
+    def __init__(self, clock: Any, state: StateClient, member: str, nonce: str, life_s: float,
+                 on_elected: Callable[[int], None], on_deposed: Callable[[str], None]) -> None:
+        self._clock = clock
+        self._state = state
+        self._member = member
+        self._nonce = nonce
+        self.life_s = life_s
+        self._on_elected = on_elected
+        self._on_deposed = on_deposed
+        self.token: int | None = None
+        self.leader: str | None = None
+        """The member that leads, as far as is known."""
+        self._lease: int | None = None
+        self._confirmed_until = 0.0
+        self.confirmed_at = 0.0
+        self._version: int | None = None
+
+    @property
+    def leading(self) -> bool:
+        return self.token is not None
+
+    def confirmed(self) -> bool:
+        """Whether nobody else can have been elected yet."""
+        return self.token is not None and self._clock.seconds() < self._confirmed_until
+
+    def blind_for(self) -> float:
+        """Seconds since the lease was last known to be alive."""
+        return max(0.0, self._clock.seconds() - self.confirmed_at)
+
+    def step_down(self, reason: str) -> None:
+        if self.token is None:
+            return
+        self.token = None
+        lease, self._lease = self._lease, None
+        log.info("stepping down: %s", reason)
+        self._on_deposed(reason)
+        if lease is not None:
+            defer.ensureDeferred(self._end(lease))
+
+    async def _end(self, lease: int) -> None:
+        try:
+            await self._state.end_lease(lease)
+        except (Unavailable, Unknown):
+            pass  # it ends by itself
+
+    async def run(self) -> None:
+        """Seeks and keeps the leadership for as long as the process lives."""
+        while True:
+            try:
+                if self.token is None:
+                    await self._seek()
+                else:
+                    await self._keep()
+            except (Unavailable, Unknown, Compacted) as error:
+                log.debug("election: %s", error)
+                await self._sleep(self.life_s / 8)
+            except Exception:
+                log.exception("election")
+                await self._sleep(self.life_s / 4)
+
+    def _sleep(self, seconds: float) -> defer.Deferred:
+        done: defer.Deferred = defer.Deferred()
+        self._clock.callLater(seconds, done.callback, None)
+        return done
+
+    def _confirm(self, sent: float) -> None:
+        self.confirmed_at = sent
+        self._confirmed_until = sent + self.life_s * (1 - 2 * DRIFT)
+
+    async def _seek(self) -> None:
+        found = await self._state.get(records.LEADER)
+        if found is not None:
+            value, version, lease = found
+            self.leader = value["member"]
+            if value["nonce"] == self._nonce and lease is not None:
+                # Our own acquisition, whose answer was lost or whose key was given up: start anew.
+                await self._state.end_lease(lease)
+                return
+            if value["member"] == self._member and lease is not None:
+                # Only one process runs as this member, so the one that held the key is over.
+                log.info("ending the lease of our former process")
+                await self._state.end_lease(lease)
+                return
+            self._version = version
+            await self._state.watch(records.LEADER, version, self.life_s * 4)
+            return
+        self.leader = None
+        sent = self._clock.seconds()
+        lease = await self._state.new_lease(self.life_s)
+        try:
+            token = await self._state.commit(
+                {records.LEADER: 0}, {records.LEADER: {"member": self._member, "nonce": self._nonce}}, [], lease)
+        except Conflict:
+            await self._end(lease)
+            return
+        except LeaseGone:
+            return
+        self._lease = lease
+        self._confirm(sent)
+        if not self._clock.seconds() < self._confirmed_until:
+            await self._end(lease)
+            return
+        self.leader = self._member
+        self.token = token
+        log.info("elected, token %d", token)
+        self._on_elected(token)
+
+    async def _keep(self) -> None:
+        await self._sleep(self.life_s / 4)
+        if self._lease is None or self.token is None:
+            return
+        sent = self._clock.seconds()
+        try:
+            await self._state.renew(self._lease, self.life_s / 3)
+        except LeaseGone:
+            self.step_down("the lease has ended")
+            return
+        self._confirm(sent)
--- /dev/null
+++ b/stileloft/coordination/fleet.py
@@ -0,0 +1,255 @@
+"""Machines: what the cloud lists, rentals, returns, and which are given up."""
+
+import logging
+from typing import TYPE_CHECKING, Any
+
+from twisted.internet import defer
+
+from stileloft.bookkeeping import records
+from stileloft.bookkeeping.model import Machine
+from stileloft.coordination.election import DRIFT
+from stileloft.coordination.scaling import Offer, Plan
+from stileloft.protocol.cloud import CloudTrouble, NoCapacity
+from stileloft.protocol.messages import ListedMachine
+from stileloft.protocol.state import Conflict, Unavailable, Unknown
+
+if TYPE_CHECKING:
+    from stileloft.coordination.leader import Term
+
+log = logging.getLogger(__name__)
+
+# Silence after which nothing more is placed on a machine, in report intervals.
+QUIET_REPORTS = 2.0
+# Silence after which a machine is given back, as a part of the lease and in report intervals.
+SILENT_LEASES = 0.5
+SILENT_REPORTS = 3.0
+# A machine that is not up after this multiple of its boot time is given back.
+BOOT_LIMIT = 3.0
+# How long an offer without capacity is left alone, in boot times.
+REFUSED_BOOTS = 0.5
+MARGIN_LEASES = 0.1
+RENT_TRIES = 6
+GONE_KEPT = 2000
+
+
+class Fleet:
+    def __init__(self, term: "Term") -> None:
+        self.term = term
+        workers = term.settings.workers
+        self.lease_s = workers.lease_s
+        self.quiet_s = QUIET_REPORTS * workers.report_s
+        self.silent_s = max(SILENT_LEASES * workers.lease_s, SILENT_REPORTS * workers.report_s)
+        self.lag_s = term.settings.cloud.list_lag_s
+        self.gone: dict[str, float] = {}
+        self.refused: dict[Offer, float] = {}
+        self.renting: dict[str, tuple[Offer, int]] = {}
+        self.recent: dict[str, list[Any]] = {}
+        """Machines rented lately, as in the store's `rented` record."""
+        self.recent_version = 0
+        self.list_loaded_at: float | None = None
+        self._serial = 0
+
+    # -- the cloud's list -------------------------------------------------------
+
+    async def list_loop(self) -> None:
+        term = self.term
+        while term.alive:
+            try:
+                listed = await term.cloud.machines()
+                if term.alive:
+                    with term.lock:
+                        self.take_list(listed)
+                    self.list_loaded_at = term.clock.seconds()
+                    term.poke()
+            except CloudTrouble as error:
+                log.debug("machine list: %s", error)
+            except Exception:
+                log.exception("machine list")
+            await term.sleep(max(1.0, self.lag_s / 4))
+
+    def take_list(self, listed: list[ListedMachine]) -> None:
+        """Adds machines; a list never removes what may be alive, since it can be old."""
+        term = self.term
+        now = term.clock.seconds()
+        for item in listed:
+            if item.id in self.gone:
+                continue
+            machine = term.machine(item.id)
+            machine.listed, machine.listed_state = True, item.state
+            if not machine.reported:
+                machine.type, machine.zone, machine.spot = item.type, item.zone, item.spot
+                machine.address = machine.address or item.address
+            if not machine.rented_at:
+                machine.rented_at = now - item.age_s - self.lag_s
+            if item.state == "failed":
+                self.give_back(machine, "it failed")
+
+    # -- watching over machines ---------------------------------------------------
+
+    def check(self) -> None:
+        """Finds machines that are silent, never came up, are to be emptied, or are empty and unwanted."""
+        term = self.term
+        now = term.clock.seconds()
+        machines = list(term.machines.values())
+        up = [m for m in machines if m.up_since is not None or m.listed_state == "running"]
+        silent = [m for m in up if now - max(m.heard_at, term.started_at) > self.silent_s]
+        deaf = len(up) > 1 and len(silent) * 2 > len(up)
+        if deaf and not any(now - m.heard_at < self.quiet_s for m in up) and term.confirmed():
+            # Every machine is silent: it is we who cannot hear. Let another node try.
+            term.depose("no machine is heard")
+            return
+        for machine in machines:
+            self._check_one(machine, now, deaf)
+
+    def session_over(self, machine: Machine, now: float) -> bool:
+        """Whether the machine's tasks are certainly killed, by its worker's lease."""
+        margin = self.lease_s * (MARGIN_LEASES + 2 * DRIFT)
+        if machine.answered_at is not None:
+            return now > machine.answered_at + self.lease_s + margin
+        # A former leader may have answered it without being confirmed, for its grace.
+        return now > self.term.started_at + self.term.grace_s + self.lease_s + margin
+
+    def _check_one(self, machine: Machine, now: float, deaf: bool) -> None:
+        term = self.term
+        if machine.releasing:
+            return
+        heard = max(machine.heard_at, term.started_at)
+        if machine.up_since is None and machine.listed_state != "running" and not machine.placements:
+            kind = term.types.get(machine.type)
+            boot_s = kind.boot_s if kind else self.lease_s
+            if now - (machine.rented_at or machine.first_seen) > BOOT_LIMIT * boot_s + self.lag_s:
+                self.give_back(machine, "it did not come up")
+            return
+        if self.session_over(machine, now) and machine.placements:
+            for placement in list(machine.placements.values()):
+                term.end(placement, "its machine's lease is over")
+        if now - heard > self.silent_s and not deaf:
+            self.give_back(machine, f"it has been silent for {now - heard:.1f} s")
+            return
+        if machine.notice_until is not None:
+            term.wind_down(machine, now)
+        if machine.draining and not machine.placements and not machine.strays:
+            self.give_back(machine, machine.draining)
+
+    def give_back(self, machine: Machine, reason: str) -> None:
+        """Returns a machine; once the cloud confirms it, everything on it is gone."""
+        if machine.releasing:
+            return
+        machine.releasing = True
+        machine.draining = machine.draining or reason
+        log.info("returning machine %s: %s", machine.id, reason)
+        defer.ensureDeferred(self._release(machine))
+
+    async def _release(self, machine: Machine) -> None:
+        term = self.term
+        while term.alive:
+            if not term.confirmed():
+                await term.sleep(0.5)
+                continue
+            try:
+                await term.cloud.release([machine.id])
+                break
+            except CloudTrouble as error:
+                log.debug("returning %s: %s", machine.id, error)
+                await term.sleep(1.0)
+                now = term.clock.seconds()
+                with term.lock:
+                    if machine.placements and self.session_over(machine, now):
+                        for placement in list(machine.placements.values()):
+                            term.end(placement, "its machine's lease is over")
+        if not term.alive:
+            return
+        with term.lock:
+            self.gone[machine.id] = term.clock.seconds()
+            if len(self.gone) > GONE_KEPT:
+                del self.gone[next(iter(self.gone))]
+            for placement in list(machine.placements.values()):
+                term.end(placement, "its machine is gone")
+            for task in machine.strays:
+                term.stray_tasks.pop(task, None)
+            term.machines.pop(machine.id, None)
+            self.recent.pop(machine.id, None)
+        term.poke()
+
+    # -- renting ------------------------------------------------------------------
+
+    def refused_now(self) -> set[Offer]:
+        now = self.term.clock.seconds()
+        return {offer for offer, until in self.refused.items() if until > now}
+
+    def carry_out(self, plan: Plan) -> None:
+        for machine_id in plan.give_back:
+            machine = self.term.machines.get(machine_id)
+            if machine is not None and not machine.placements and not machine.strays:
+                self.give_back(machine, "it is idle")
+        for offer, count in plan.rent.items():
+            self._serial += 1
+            # The process's nonce keeps names apart between nodes, restarts and terms.
+            request = f"r-{self.term.nonce}-{self.term.token}-{self._serial}"
+            self.renting[request] = (offer, count)
+            defer.ensureDeferred(self._rent(request, offer, count))
+
+    async def _rent(self, request: str, offer: Offer, count: int) -> None:
+        term = self.term
+        name, zone, spot = offer
+        machines: list[str] = []
+        kind = term.types.get(name)
+        refused_s = REFUSED_BOOTS * (kind.boot_s if kind else self.lease_s)
+        sent_at = term.clock.seconds()
+        for tried in range(RENT_TRIES):
+            if not term.alive or not term.confirmed():
+                break
+            try:
+                machines = await term.cloud.rent(request, name, zone, spot, count)
+                if len(machines) < count:
+                    self.refused[offer] = term.clock.seconds() + refused_s
+                break
+            except NoCapacity:
+                self.refused[offer] = term.clock.seconds() + refused_s
+                break
+            except CloudTrouble as error:
+                # The same name again: if the first was carried out, nothing more is rented.
+                log.info("renting %s: %s", request, error)
+                await term.sleep(1.0 + tried)
+        if not term.alive:
+            return
+        with term.lock:
+            self.renting.pop(request, None)
+            for machine_id in machines:
+                machine = term.machine(machine_id)
+                if not machine.reported:
+                    machine.type, machine.zone, machine.spot = name, zone, spot
+                machine.rented_at = sent_at
+                self.recent[machine_id] = [name, zone, 1 if spot else 0, round(term.wall(), 1)]
+        if machines:
+            log.info("rented %d of %d %s in %s%s", len(machines), count, name, zone, ", spot" if spot else "")
+            await self._store_recent()
+        else:
+            log.info("no %s to be had in %s%s", name, zone, ", spot" if spot else "")
+        term.poke()
+
+    async def _store_recent(self) -> None:
+        """Tells a successor of machines that the cloud's list may not show yet."""
+        term = self.term
+        oldest = term.wall() - 4 * self.lag_s - 5.0
+        self.recent = {m: entry for m, entry in self.recent.items() if entry[3] > oldest}
+        if not term.writes.take(1.0):
+            return
+        try:
+            await term.state.commit({records.LEADER: term.token}, {records.RENTED: self.recent}, [])
+        except (Conflict, Unavailable, Unknown) as error:
+            log.debug("recording rentals: %s", error)
+
+    def load_recent(self, value: dict[str, Any]) -> None:
+        term = self.term
+        wall, now = term.wall(), term.clock.seconds()
+        for machine_id, entry in value.items():
+            name, zone, spot, rented = entry
+            if wall - rented > 4 * self.lag_s + 5.0:
+                continue
+            self.recent[machine_id] = entry
+            machine = term.machine(machine_id)
+            machine.type, machine.zone, machine.spot = name, zone, bool(spot)
+            machine.rented_at = now - max(0.0, wall - rented)
+
+
--- /dev/null
+++ b/stileloft/coordination/leader.py
@@ -0,0 +1,674 @@
+"""A leader's term: the picture, the round of decisions, and what follows from them."""
+
+import logging
+import threading
+from typing import TYPE_CHECKING, Any
+
+from twisted.internet import defer
+
+from stileloft.bookkeeping import records
+from stileloft.bookkeeping.model import (
+    BOUND,
+    ENDED,
+    PLANNED,
+    Chunk,
+    Job,
+    Machine,
+    Placement,
+    job_from_record,
+    orphan_spec,
+)
+from stileloft.coordination import placement as placing
+from stileloft.coordination import scaling
+from stileloft.coordination.dispatch import Dispatch
+from stileloft.coordination.fleet import Fleet
+from stileloft.coordination.ledger import Entry, Ledger
+from stileloft.coordination.placement import Decision
+from stileloft.coordination.snapshot import (
+    Node,
+    Nomination,
+    Running,
+    Snapshot,
+    Usage,
+    Waiting,
+    within_limit,
+    zone_allowed,
+)
+from stileloft.protocol.messages import JobSpec, Report
+from stileloft.protocol.state import Compacted, Unavailable, Unknown
+
+if TYPE_CHECKING:
+    from stileloft.coordination import node as nodes
+
+log = logging.getLogger(__name__)
+
+# Rounds: at least this long apart, and after a change at the earliest this late.
+ROUND_GAP_S = 0.15
+ROUND_DELAY_S = 0.02
+CHECK_S = 0.5
+PLAN_S = 2.0
+WATCH_S = 10.0
+# What one round places, as a multiple of the changes in a transaction.
+PLACED_TXNS = 2
+MAX_EVICTIONS = 8
+TASKS_OFFERED = 64
+# A nomination is given up after this many report intervals beyond its victims' time to save.
+NOMINATION_REPORTS = 3.0
+CLASS_MEMORY = 0.2
+ERRORS_FAULTY = 2
+BACKOFF_S = 1.0
+BACKOFF_MAX_S = 60.0
+
+
+class Term:
+    """All that one leadership knows; nothing outlives it."""
+
+    def __init__(self, node: "nodes.Node", token: int) -> None:
+        self.node = node
+        self.token = token
+        self.nonce = node.nonce
+        self.clock = node.reactor
+        self.wall = node.wall
+        self.settings = node.settings.deployment
+        self.state = node.state
+        self.cloud = node.cloud
+        self.workers = node.workers
+        self.writes = node.leader_writes
+        self.teams = node.teams
+        self.grace_s = node.grace_s
+        self.sleep = node.sleep
+        self.alive = True
+        self.loaded = False
+        self.started_at = self.clock.seconds()
+        self.lock = threading.Lock()
+        self.jobs: dict[str, Job] = {}
+        self.machines: dict[str, Machine] = {}
+        self.dirty: set[str] = set()
+        self.stray_tasks: dict[str, str] = {}
+        self.nominations: dict[tuple[str, int], Nomination] = {}
+        self.avoided: dict[tuple[str, str], float] = {}
+        self.ratios: dict[str, float] = {}
+        self.typical: dict[str, tuple[JobSpec, float]] = {}
+        self.chunk_size = records.chunk_size(self.settings.state.value_kb)
+        self.ledger = Ledger(self)
+        self.dispatch = Dispatch(self)
+        self.fleet = Fleet(self)
+        self.revision = 0
+        self.last_decision: dict[str, Any] = {}
+        self._round_running = False
+        self._round_due: Any = None
+        self._round_again = False
+        self._round_at = 0.0
+        self._planned_at = 0.0
+        self._dropped: dict[str, None] = {}
+        self.urgent_classes = {o.job_class for o in self.settings.objectives if o.kind == "wait" and o.job_class}
+
+    @property
+    def types(self) -> dict[str, Any]:
+        return self.node.types
+
+    # -- life -------------------------------------------------------------------
+
+    def begin(self) -> None:
+        defer.ensureDeferred(self._take_over())
+
+    def finish(self) -> None:
+        self.alive = False
+        if self._round_due is not None and self._round_due.active():
+            self._round_due.cancel()
+
+    def confirmed(self) -> bool:
+        return self.alive and self.node.election.confirmed()
+
+    def depose(self, reason: str) -> None:
+        if self.alive:
+            self.node.election.step_down(reason)
+
+    async def _take_over(self) -> None:
+        """Reads what is unfinished, then claims the machines that are known."""
+        defer.ensureDeferred(self.fleet.list_loop())
+        while self.alive:
+            try:
+                await self._load()
+                break
+            except (Unavailable, Unknown) as error:
+                log.info("taking over: %s", error)
+                await self.sleep(0.3)
+            except Exception:
+                log.exception("taking over")
+                await self.sleep(1.0)
+        if not self.alive:
+            return
+        self.loaded = True
+        with self.lock:
+            for machine in self.machines.values():
+                self.dispatch.send(machine)
+        log.info("took over %d jobs and %d machines in %.2f s", len(self.jobs), len(self.machines),
+                 self.clock.seconds() - self.started_at)
+        defer.ensureDeferred(self._watch_loop())
+        self._check()
+        self.poke()
+
+    async def _load(self) -> None:
+        # The watch continues from the first read, so that nothing is missed in between.
+        active, revision = await self.state.scan(records.ACTIVE)
+        chunks, _ = await self.state.scan(records.TASKS)
+        rented = await self.state.get(records.RENTED)
+        # A chunk that was read after its job's record may be newer: its version guards it.
+        with self.lock:
+            self.jobs.clear()
+            for _, value, version in active:
+                job = job_from_record(value, version, self.chunk_size)
+                self.jobs[job.id] = job
+                self._learn(job.spec)
+            for key, value, version in chunks:
+                job_id, number = records.split_chunk_key(key)
+                found = self.jobs.get(job_id)
+                if found is None:
+                    found = Job(orphan_spec(job_id, value["r"]), 0.0, self.chunk_size)
+                    found.over = "cancelled"
+                    self.jobs[job_id] = found
+                if number not in found.done_chunks:
+                    found.load_chunk(number, value, version)
+            for job in self.jobs.values():
+                job.recount()
+                for placement in job.placements():
+                    self.attach(placement)
+                if job.over:
+                    self._stop_all(job)
+                    if not job.placed:
+                        self._drop_chunks(job)
+            if rented is not None:
+                self.fleet.load_recent(rented[0])
+            self.revision = revision
+
+    async def _watch_loop(self) -> None:
+        while self.alive:
+            try:
+                revision, events = await self.state.watch(records.ACTIVE, self.revision, WATCH_S)
+                if not self.alive:
+                    return
+                self.revision = revision
+                for key, value, version in events:
+                    self._on_change(key[len(records.ACTIVE):], value, version)
+            except Compacted:
+                await self._resync()
+            except (Unavailable, Unknown) as error:
+                log.debug("watch: %s", error)
+                await self.sleep(0.2)
+            except Exception:
+                log.exception("watch")
+                await self.sleep(0.5)
+
+    async def _resync(self) -> None:
+        active, revision = await self.state.scan(records.ACTIVE)
+        listed = set()
+        for key, value, version in active:
+            listed.add(key[len(records.ACTIVE):])
+            self._on_change(key[len(records.ACTIVE):], value, version)
+        for job in list(self.jobs.values()):
+            if job.id not in listed and job.version <= revision:
+                self._on_change(job.id, None, revision)
+        self.revision = revision
+
+    def _on_change(self, job_id: str, value: Any, version: int) -> None:
+        """A job's record was written by somebody, perhaps by us."""
+        job = self.jobs.get(job_id)
+        if value is not None:
+            if job is None and job_id not in self._dropped:
+                with self.lock:
+                    job = job_from_record(value, version, self.chunk_size)
+                    job.recount()
+                    self.jobs[job_id] = job
+                    self._learn(job.spec)
+                self.poke(True)
+            return
+        if job is None or job.over:
+            return
+        # Gone from `active/`: cancelled by its user, or finished by a commit of ours
+        # whose answer is still on its way. The store tells which.
+        if not job.busy:
+            self.ledger.start_reload(job)
+        else:
+            self.clock.callLater(0.05, self._on_change, job_id, None, version)
+
+    def _learn(self, spec: JobSpec) -> None:
+        """Keeps the usual size of a class's jobs, for headroom."""
+        size = spec.tasks * spec.cpus
+        before = self.typical.get(spec.job_class)
+        mean = size if before is None else before[1] + CLASS_MEMORY * (size - before[1])
+        self.typical[spec.job_class] = (spec, mean)
+
+    # -- the picture: called with the lock held ------------------------------------
+
+    def machine(self, machine_id: str) -> Machine:
+        machine = self.machines.get(machine_id)
+        if machine is None:
+            machine = Machine(machine_id, first_seen=self.clock.seconds())
+            self.machines[machine_id] = machine
+        return machine
+
+    def attach(self, placement: Placement) -> None:
+        if placement.state != ENDED:
+            machine = self.machine(placement.machine)
+            machine.placements[placement.key] = placement
+            machine.idle_since = None
+
+    def touch(self, job: Job) -> None:
+        job.dirty = True
+        self.dirty.add(job.id)
+
+    def dirty_jobs(self) -> list[Job]:
+        found = []
+        for job_id in list(self.dirty):
+            job = self.jobs.get(job_id)
+            if job is None:
+                self.dirty.discard(job_id)
+            else:
+                found.append(job)
+        return found
+
+    def is_over(self, job_id: str) -> bool:
+        job = self.jobs.get(job_id)
+        return job is None or job.over is not None or job.reload
+
+    def end(self, placement: Placement, why: str) -> None:
+        """The task is certainly not on its machine any more, and has to run again."""
+        if placement.state == ENDED:
+            return
+        log.info("task %s attempt %d on %s ended: %s", placement.task, placement.attempt, placement.machine, why)
+        placement.state = ENDED
+        job = self.jobs.get(placement.job)
+        if job is not None:
+            job.chunk_of(placement.index).dirty = True
+            self.touch(job)
+        self.ledger.later(0.0)
+
+    def cleared(self, placement: Placement) -> None:
+        """The store holds the placement no longer."""
+        machine = self.machines.get(placement.machine)
+        if machine is None:
+            return
+        if machine.placements.get(placement.key) is placement:
+            del machine.placements[placement.key]
+        if placement.seen == "exited":
+            machine.forgets[placement.task] = placement.attempt
+        if not machine.placements and not machine.strays and machine.idle_since is None:
+            machine.idle_since = self.clock.seconds()
+
+    def completed(self, machine: Machine, placement: Placement, now: float) -> None:
+        placement.done = True
+        job = self.jobs.get(placement.job)
+        if job is not None and placement.running_since is not None and job.spec.estimate_s > 0:
+            job.errors.clear()
+            took = now - placement.running_since
+            if placement.attempt == 1:
+                ratio = min(4.0, max(0.1, took / job.spec.estimate_s))
+                known = self.ratios.get(job.spec.job_class, 1.0)
+                self.ratios[job.spec.job_class] = known + CLASS_MEMORY * (ratio - known)
+        self.end(placement, "done")
+
+    def failed(self, machine: Machine, placement: Placement) -> None:
+        """Tells a faulty machine from a mistaken job: the one fails many jobs, the other on many machines."""
+        job = self.jobs.get(placement.job)
+        machine.errors.add(placement.job)
+        machine.error_count += 1
+        if job is not None:
+            job.errors.add(machine.id)
+            job.error_count += 1
+            self.avoid(placement, machine.id, self.settings.workers.lease_s * 4)
+            if len(job.errors) > 1:
+                pause = min(BACKOFF_MAX_S, BACKOFF_S * 2 ** len(job.errors))
+                self.delay(job.id, pause)
+        honest = [j for j in machine.errors if j in self.jobs and len(self.jobs[j].errors) < 2]
+        if (len(honest) >= ERRORS_FAULTY or (honest and machine.error_count > 4)) and machine.draining is None:
+            log.info("machine %s fails tasks of %d jobs: emptying it", machine.id, len(machine.errors))
+            machine.draining = "it fails tasks"
+            for other in machine.placements.values():
+                self.stop(other)
+
+    def avoid(self, placement: Placement, machine_id: str, seconds: float) -> None:
+        self.avoided[(placement.job, machine_id)] = self.clock.seconds() + seconds
+
+    def delay(self, job_id: str, seconds: float) -> None:
+        job = self.jobs.get(job_id)
+        if job is not None:
+            job.not_before = max(job.not_before, self.clock.seconds() + seconds)
+            self.clock.callLater(seconds, self.poke)
+
+    def stop(self, placement: Placement, grace_s: float | None = None) -> None:
+        """Has a task stopped, with time to save if it can."""
+        if placement.state == PLANNED:
+            self.end(placement, "not needed there")
+            return
+        if placement.state != BOUND or placement.stop_grace is not None and grace_s is None:
+            return
+        job = self.jobs.get(placement.job)
+        save_s = (job.spec.save_s or 0.0) if job is not None and (job.spec.checkpoint_s or 0.0) > 0 else 0.0
+        placement.stop_grace = save_s * 1.2 + 0.5 if grace_s is None else grace_s
+        placement.stop_at = 0.0
+        machine = self.machines.get(placement.machine)
+        if machine is not None:
+            self.clock.callLater(0, self.dispatch.send, machine)
+
+    def wind_down(self, machine: Machine, now: float) -> None:
+        """Empties a machine that the cloud takes away, so that as little as possible is lost."""
+        left = (machine.notice_until or now) - now
+        for placement in machine.placements.values():
+            job = self.jobs.get(placement.job)
+            if placement.stop_grace is not None or job is None:
+                continue
+            spec = job.spec
+            if (spec.checkpoint_s or 0.0) > 0:
+                # Later would save more, but a command that comes too late saves nothing.
+                if (spec.save_s or 0.0) + 1.0 < left:
+                    self.stop(placement)
+            elif self.remaining(job, placement, now) > left:
+                self.stop(placement, 0.0)
+
+    def remaining(self, job: Job, placement: Placement, now: float) -> float:
+        estimate = self.estimate(job.spec)
+        if placement.running_since is None:
+            return estimate
+        return max(0.1 * estimate, estimate - (now - placement.running_since))
+
+    def estimate(self, spec: JobSpec) -> float:
+        return max(0.5, spec.estimate_s * self.ratios.get(spec.job_class, 1.0))
+
+    def job_over(self, job: Job, phase: str) -> None:
+        if job.over is None:
+            job.over = phase
+            log.info("job %s is %s", job.id, phase)
+        self._stop_all(job)
+        if not job.placed:
+            self._drop_chunks(job)
+
+    def _stop_all(self, job: Job) -> None:
+        for placement in list(job.placements()):
+            if placement.state == PLANNED:
+                self.end(placement, "its job is over")
+            else:
+                self.stop(placement, 0.0)
+        for chunk in job.chunks.values():
+            chunk.dirty = True
+        self.touch(job)
+
+    def _drop_chunks(self, job: Job) -> None:
+        for chunk in job.chunks.values():
+            chunk.dirty = True
+        self.touch(job)
+        self.ledger.later(0.0)
+
+    def drop_job(self, job: Job) -> None:
+        self.jobs.pop(job.id, None)
+        # The watch may still bring a record of it from before its end.
+        self._dropped[job.id] = None
+        if len(self._dropped) > 1000:
+            del self._dropped[next(iter(self._dropped))]
+        self.dirty.discard(job.id)
+        for key in [k for k in self.nominations if k[0] == job.id]:
+            del self.nominations[key]
+        for pair in [k for k in self.avoided if k[0] == job.id]:
+            del self.avoided[pair]
+
+    # -- events -------------------------------------------------------------------
+
+    def on_report(self, report: Report) -> dict[str, Any]:
+        with self.lock:
+            answer = self.dispatch.on_report(report)
+        self.after_report()
+        return answer
+
+    def after_report(self) -> None:
+        if self.dirty and self.loaded:
+            self.ledger.later(0.02)
+
+    def after_commit(self, batch: list[Entry]) -> None:
+        """Starts what was bound, at once, and looks for use of what was freed."""
+        machines = {p.machine for entry in batch for p in entry.bound}
+        with self.lock:
+            for machine_id in machines:
+                machine = self.machines.get(machine_id)
+                if machine is not None:
+                    self.dispatch.send(machine)
+        if any(entry.ended for entry in batch):
+            self.poke()
+
+    def _check(self) -> None:
+        if not self.alive:
+            return
+        self.clock.callLater(CHECK_S, self._check)
+        try:
+            with self.lock:
+                self.fleet.check()
+                if not self.alive:
+                    return
+                for machine in self.machines.values():
+                    self.dispatch.send(machine)
+                self._expire_nominations()
+        except Exception:
+            log.exception("check")
+        if self.dirty:
+            self.ledger.flush()
+        self.poke()
+
+    def _expire_nominations(self) -> None:
+        now = self.clock.seconds()
+        for key in [k for k, n in self.nominations.items() if n.until < now or n.machine not in self.machines]:
+            del self.nominations[key]
+
+    # -- the round ------------------------------------------------------------------
+
+    def poke(self, soon: bool = False) -> None:
+        """Asks for a round of decisions."""
+        if not self.alive or not self.loaded:
+            return
+        if self._round_running:
+            self._round_again = True
+            return
+        if self._round_due is not None and self._round_due.active():
+            return
+        wait = max(ROUND_DELAY_S, self._round_at + ROUND_GAP_S - self.clock.seconds())
+        self._round_due = self.clock.callLater(wait, self._start_round)
+
+    def _start_round(self) -> None:
+        if not self.confirmed() or not self.types:
+            return
+        self._round_running = True
+        self._round_again = False
+        self._round_at = self.clock.seconds()
+        scale = self._round_at - self._planned_at >= PLAN_S
+        if scale:
+            self._planned_at = self._round_at
+        waiting = self.node.in_thread(self._decide, scale)
+        waiting.addCallbacks(self._apply, lambda failure: log.error("round: %s", failure.getTraceback()))
+        waiting.addErrback(lambda failure: log.error("applying a round: %s", failure.getTraceback()))
+        waiting.addBoth(self._round_over)
+
+    def _round_over(self, _: Any) -> None:
+        self._round_running = False
+        if self._round_again:
+            self.poke()
+
+    def _decide(self, scale: bool) -> tuple[Decision, scaling.Plan | None]:
+        """Runs in its own thread; works on a copy."""
+        with self.lock:
+            snapshot = self.snapshot()
+            refused = self.fleet.refused_now()
+            headroom = self._headroom()
+        max_placed = PLACED_TXNS * self.settings.state.txn_ops
+        decision = placing.decide(snapshot, max_placed, MAX_EVICTIONS)
+        plan = None
+        if scale:
+            plan = scaling.plan(snapshot, decision.unmet, refused, headroom)
+        return decision, plan
+
+    def _headroom(self) -> list[tuple[JobSpec, int]]:
+        found = []
+        for name in sorted(self.urgent_classes):
+            if name in self.typical:
+                spec, mean = self.typical[name]
+                found.append((spec, max(1, round(2 * mean / max(spec.cpus, 0.1)))))
+        return found
+
+    def snapshot(self) -> Snapshot:
+        now = self.clock.seconds()
+        usage = {name: Usage() for name in self.teams}
+        types = dict(self.types)
+        copies: dict[str, Node] = {}
+        for machine in self.machines.values():
+            for stray in machine.strays.values():
+                if stray.team in usage:
+                    usage[stray.team].cpus += stray.cpus
+                    usage[stray.team].gpus += stray.gpus
+            kind = types.get(machine.type)
+            if kind is None:
+                continue
+            copies[machine.id] = self._node(machine, kind, now)
+        for request, (offer, count) in self.fleet.renting.items():
+            for number in range(count):
+                copy = Node(f"{request}-{number}", types[offer[0]], offer[1], offer[2], True, False, 0.0)
+                copy.settle()
+                copies[copy.id] = copy
+        waiting = []
+        for job in self.jobs.values():
+            used = usage.setdefault(job.spec.team, Usage())
+            used.cpus += job.spec.cpus * job.placed
+            used.gpus += (job.spec.gpus or 0.0) * job.placed
+            if job.waiting <= 0 or job.not_before > now or job.reload:
+                continue
+            count = job.waiting
+            tasks = job.free_tasks(TASKS_OFFERED if not job.errors else 1)
+            if self.stray_tasks:
+                tasks = [i for i in tasks if f"{job.id}/{i}" not in self.stray_tasks]
+            avoid = frozenset(m for (j, m), until in self.avoided.items() if j == job.id and until > now)
+            waiting.append(Waiting(job.spec, job.submitted, count, tasks, dict(job.zones),
+                                   self.estimate(job.spec), avoid))
+        return Snapshot(self.wall(), copies, waiting, self.teams, usage, dict(self.nominations), types)
+
+    def _node(self, machine: Machine, kind: Any, now: float) -> Node:
+        up = machine.up_since is not None
+        quiet = now - machine.heard_at > self.fleet.quiet_s
+        ready = machine.draining is None and not machine.releasing
+        if up:
+            ready = ready and machine.trusted and not quiet and machine.send_failures < 2
+        copy = Node(machine.id, kind, machine.zone, machine.spot, ready, up, 0.0, images=frozenset(machine.images))
+        for placement in machine.placements.values():
+            job = self.jobs.get(placement.job)
+            if job is None:
+                continue
+            spec = job.spec
+            age = now - placement.running_since if placement.running_since is not None else 0.0
+            unsaved = age % spec.checkpoint_s if spec.checkpoint_s else age
+            copy.tasks.append(Running(
+                placement.key, spec, spec.team, spec.rank, spec.cpus, spec.gpus or 0.0, spec.memory_gb,
+                unsaved, self.remaining(job, placement, now), age,
+                leaving=placement.stop_grace is not None or placement.state == ENDED))
+        for task, stray in machine.strays.items():
+            copy.tasks.append(Running((task, -1), None, stray.team, 99, stray.cpus, stray.gpus, stray.memory_gb,
+                                      leaving=True))
+        copy.idle_s = now - machine.idle_since if machine.idle_since is not None else 0.0
+        copy.settle()
+        return copy
+
+    def _apply(self, outcome: tuple[Decision, scaling.Plan | None]) -> None:
+        """Carries out what was decided, as far as it still holds."""
+        decision, plan = outcome
+        if not self.confirmed():
+            return
+        with self.lock:
+            usage = {name: Usage() for name in self.teams}
+            for job in self.jobs.values():
+                used = usage.setdefault(job.spec.team, Usage())
+                used.cpus += job.spec.cpus * job.placed
+                used.gpus += (job.spec.gpus or 0.0) * job.placed
+            for machine in self.machines.values():
+                for stray in machine.strays.values():
+                    if stray.team in usage:
+                        usage[stray.team].cpus += stray.cpus
+                        usage[stray.team].gpus += stray.gpus
+            for key, machine_id in decision.placed:
+                self._place(key, machine_id, usage)
+            for key, eviction in decision.evictions:
+                self._evict(key, eviction)
+            if plan is not None:
+                self.fleet.carry_out(plan)
+        self.last_decision = {
+            "placed": len(decision.placed),
+            "evictions": [
+                {"for": f"{key[0]}/{key[1]}", "machine": eviction.machine,
+                 "victims": [f"{victim.key[0]}/{victim.key[1]}" for victim in eviction.victims]}
+                for key, eviction in decision.evictions],
+            "unmet": {job.spec.id: count for job, count in decision.unmet[:50]},
+        }
+        if self.dirty:
+            self.ledger.flush()
+
+    def _place(self, key: tuple[str, int], machine_id: str, usage: dict[str, Usage]) -> None:
+        job = self.jobs.get(key[0])
+        machine = self.machines.get(machine_id)
+        if (job is None or machine is None or job.over or job.reload or machine.draining or machine.releasing
+                or not machine.trusted or f"{key[0]}/{key[1]}" in self.stray_tasks):
+            return
+        index = key[1]
+        chunk = job.chunks.get(index // self.chunk_size)
+        if index // self.chunk_size in job.done_chunks:
+            return
+        if chunk is not None and (index in chunk.done or index in chunk.placements):
+            return
+        spec = job.spec
+        used = usage.setdefault(spec.team, Usage())
+        if not within_limit(spec, self.teams.get(spec.team), used):
+            return
+        if not zone_allowed(spec, {z: n for z, n in job.zones.items() if n > 0}, machine.zone):
+            return
+        kind = self.types.get(machine.type)
+        if kind is None:
+            return
+        copy = self._node(machine, kind, self.clock.seconds())
+        if not copy.has_room(spec.cpus, spec.gpus or 0.0, spec.memory_gb):
+            return
+        used.cpus += spec.cpus
+        used.gpus += spec.gpus or 0.0
+        chunk = job.chunks.setdefault(index // self.chunk_size, Chunk())
+        chunk.attempt += 1
+        chunk.dirty = True
+        placement = Placement(job.id, index, chunk.attempt, machine_id, machine.zone, machine.spot, PLANNED)
+        job.add(placement)
+        machine.placements[key] = placement
+        machine.idle_since = None
+        self.nominations.pop(key, None)
+        self.touch(job)
+        log.info("task %s attempt %d goes to %s", placement.task, placement.attempt, machine_id)
+
+    def _evict(self, key: tuple[str, int], eviction: Any) -> None:
+        job = self.jobs.get(key[0])
+        machine = self.machines.get(eviction.machine)
+        if job is None or machine is None or job.over or machine.draining:
+            return
+        now = self.clock.seconds()
+        longest = 0.0
+        for victim in eviction.victims:
+            placement = machine.placements.get(victim.key)
+            if placement is None:
+                continue
+            log.info("task %s on %s is stopped to make room for %s/%d", placement.task, machine.id, key[0], key[1])
+            self.stop(placement)
+            longest = max(longest, placement.stop_grace or 0.0)
+        for other in [k for k, n in self.nominations.items() if n.machine == machine.id and n.rank < job.spec.rank]:
+            del self.nominations[other]
+        until = now + longest + NOMINATION_REPORTS * self.settings.workers.report_s
+        self.nominations[key] = Nomination(key, machine.id, job.spec.rank, job.spec, until)
+
+    def status(self) -> dict[str, Any]:
+        with self.lock:
+            return {
+                "jobs": {"unfinished": len(self.jobs), "waiting_tasks": sum(j.waiting for j in self.jobs.values()),
+                         "placed_tasks": sum(j.placed for j in self.jobs.values())},
+                "machines": [
+                    {"id": m.id, "type": m.type, "zone": m.zone, "spot": m.spot, "up": m.up_since is not None,
+                     "tasks": len(m.placements), "draining": m.draining}
+                    for m in self.machines.values()],
+                "commits": self.ledger.commits,
+                "last_decision": self.last_decision,
+            }
--- /dev/null
+++ b/stileloft/coordination/node.py
@@ -0,0 +1,157 @@
+"""One controller: its clients, servers, election and, while it leads, its term."""
+
+import logging
+import os
+import secrets
+import time
+from typing import Any
+
+import orjson
+from twisted.internet import defer, threads
+
+from stileloft.coordination.admission import Admission, Impossible, NotDecidable
+from stileloft.coordination.election import Election
+from stileloft.coordination.leader import Term
+from stileloft.protocol import messages
+from stileloft.protocol.admin import AdminResources
+from stileloft.protocol.cloud import CloudClient, CloudTrouble
+from stileloft.protocol.messages import MachineType, Report
+from stileloft.protocol.state import Budget, StateClient
+from stileloft.protocol.users import PublicResources
+from stileloft.protocol.workers import WorkerClient
+from stileloft.settings import Settings, split_address
+from stileloft.transport.client import Client
+from stileloft.transport.server import Answer, Router, make_site, retry_later
+
+log = logging.getLogger(__name__)
+
+# A worker drops answers after 4 s, so waiting longer for one of its own has no use.
+WORKER_TIMEOUT_S = 4.0
+STATE_TIMEOUT_S = 1.5
+CLOUD_TIMEOUT_S = 5.0
+
+# Parts of the state service's limits; together they stay below it.
+READS_SHARE = 0.6
+LEADER_WRITES = 0.65
+USER_WRITES = 0.3
+
+# How long leaders answer reports unconfirmed, as a multiple of the workers' lease.
+GRACE_LEASES = 3.0
+
+
+class Node:
+    def __init__(self, reactor: Any, settings: Settings, wall: Any = time.time) -> None:
+        self.reactor = reactor
+        self.settings = settings
+        self.wall = wall
+        deployment = settings.deployment
+        self.teams = {team.name: team for team in deployment.teams}
+        self.types: dict[str, MachineType] = {}
+        wire = Client(reactor, messages.encode, messages.decode, b"application/cbor",
+                      per_host=8, connect_s=2.0, idle_s=60.0)
+        commands = Client(reactor, messages.encode, messages.decode, b"application/cbor",
+                          per_host=1, connect_s=1.0, idle_s=60.0)
+        self.state = StateClient(wire, settings.external.state, STATE_TIMEOUT_S)
+        self.cloud = CloudClient(wire, settings.external.cloud, CLOUD_TIMEOUT_S,
+                                 Budget(reactor, deployment.cloud.rps / 2))
+        self.workers = WorkerClient(commands, WORKER_TIMEOUT_S)
+        nodes = max(1, deployment.size)
+        reads = Budget(reactor, deployment.state.rps * READS_SHARE / nodes)
+        writes = Budget(reactor, max(2.0, deployment.state.write_rps * USER_WRITES / nodes))
+        self.leader_writes = Budget(reactor, deployment.state.write_rps * LEADER_WRITES)
+        self.admission = Admission(reactor, self.state, self.teams, self, reads, writes, wall)
+        self.nonce = secrets.token_hex(8)
+        life_s = deployment.workers.lease_s / 6
+        self.grace_s = GRACE_LEASES * deployment.workers.lease_s
+        self.election = Election(reactor, self.state, settings.member, self.nonce, life_s,
+                                 self._elected, self._deposed)
+        self.term: Term | None = None
+
+    # -- life ---------------------------------------------------------------
+
+    def start(self) -> None:
+        public = PublicResources(self.admission, self.report, self.healthy, NotDecidable, Impossible)
+        self._listen(self.settings.listen, Router(public.match, messages.encode, messages.decode, "application/cbor"))
+        admin = AdminResources(self)
+        self._listen(self.settings.peer_bind, Router(admin.match, orjson.dumps, _orjson_loads, "application/json"))
+        defer.ensureDeferred(self._catalog_loop())
+        defer.ensureDeferred(self.election.run())
+        log.info("%s serving on %s, process %d", self.settings.member, self.settings.listen, os.getpid())
+
+    def _listen(self, address: str, router: Router) -> None:
+        host, port = split_address(address)
+        idle_s = 4 * self.settings.deployment.workers.lease_s
+        self.reactor.listenTCP(port, make_site(router, idle_s), interface=host, backlog=128)
+
+    async def _catalog_loop(self) -> None:
+        """Machine types, with the prices of the moment."""
+        while True:
+            pause = 30.0 if self.types else 1.0
+            try:
+                self.types = {kind.name: kind for kind in await self.cloud.machine_types()}
+                pause = 30.0
+            except CloudTrouble as error:
+                log.debug("machine types: %s", error)
+            except Exception:
+                log.exception("machine types")
+            await self.sleep(pause)
+
+    def sleep(self, seconds: float) -> defer.Deferred:
+        done: defer.Deferred = defer.Deferred()
+        self.reactor.callLater(seconds, done.callback, None)
+        return done
+
+    def in_thread(self, function: Any, *arguments: Any) -> defer.Deferred:
+        return threads.deferToThread(function, *arguments)
+
+    def healthy(self) -> bool:
+        return bool(self.types)
+
+    # -- leadership -----------------------------------------------------------
+
+    def _elected(self, token: int) -> None:
+        self.term = Term(self, token)
+        self.term.begin()
+
+    def _deposed(self, reason: str) -> None:
+        if self.term is not None:
+            self.term.finish()
+            self.term = None
+
+    def report(self, report: Report) -> Answer:
+        """A worker's report: answered by the leader, referred to it by the others."""
+        term = self.term
+        if term is not None and report.token > term.token:
+            self.election.step_down(f"{report.machine} knows token {report.token}")
+            term = None
+        if term is None:
+            leader = self.election.leader
+            if leader is not None and leader != self.settings.member:
+                return Answer(421, {"steward": leader})
+            return Answer(421, {})
+        if not self.election.confirmed() and self.election.blind_for() > self.grace_s:
+            return retry_later(503, "leadership is not confirmed", 1)
+        return Answer(200, term.on_report(report))
+
+
+def _orjson_loads(data: bytes) -> Any:
+    return orjson.loads(data)
+
+
+
+    # -- administration ---------------------------------------------------------
+
+    def status(self) -> dict[str, Any]:
+        """What an operator may ask of this node."""
+        answer: dict[str, Any] = {
+            "member": self.settings.member,
+            "role": "leader" if self.election.leading else "standby",
+            "leader": self.election.leader,
+            "token": self.election.token,
+            "confirmed": self.election.confirmed(),
+            "machine_types": sorted(self.types),
+            "budgets": {"leader_writes": round(self.leader_writes.level(), 1)},
+        }
+        if self.term is not None:
+            answer["term"] = self.term.status()
+        return answer
--- /dev/null
+++ b/stileloft/coordination/placement.py
@@ -0,0 +1,155 @@
+"""The ordinary path: in which order tasks are served, and where each goes."""
+
+from dataclasses import dataclass, field
+
+from stileloft.bookkeeping.model import TaskKey
+from stileloft.coordination import preemption
+from stileloft.coordination.preemption import Eviction
+from stileloft.coordination.snapshot import (
+    Node,
+    Nomination,
+    Running,
+    Snapshot,
+    Usage,
+    Waiting,
+    allowed,
+    within_guarantee,
+    within_limit,
+    zone_allowed,
+)
+from stileloft.protocol.messages import JobSpec
+
+# Weights of one second of image fetch against the packing terms, by need for a prompt start.
+FETCH_WEIGHT_URGENT = 1.0
+FETCH_WEIGHT = 0.3
+WHOLE_MACHINE = 3.0
+# Machines at the full price empty first, so that they can be returned.
+ON_DEMAND = 1.0
+
+
+@dataclass(slots=True)
+class Decision:
+    placed: list[tuple[TaskKey, str]] = field(default_factory=list)
+    evictions: list[tuple[TaskKey, Eviction]] = field(default_factory=list)
+    unmet: list[tuple[Waiting, int]] = field(default_factory=list)
+    """Jobs, and how many of their tasks got neither place nor nomination."""
+
+
+def order_key(job: Waiting, snapshot: Snapshot, usage: dict[str, Usage]) -> tuple[float, ...]:
+    """Priority, then the team's guarantee, then the latest start that meets the deadline."""
+    spec = job.spec
+    owed = within_guarantee(spec, snapshot.teams.get(spec.team), usage.get(spec.team, Usage()))
+    if spec.deadline_s is not None:
+        latest = job.submitted + spec.deadline_s - job.estimate_s
+        if latest < snapshot.now - job.estimate_s:
+            # Lost anyway: behind those that can still be met, in order of arrival.
+            latest = snapshot.now + job.estimate_s
+    else:
+        latest = job.submitted + job.estimate_s
+    return (-spec.rank, 0 if owed else 1, latest, job.submitted)
+
+
+def cost(spec: JobSpec, node: Node, smallest_cpus: float, largest_cpus: float) -> float:
+    """How bad a machine is for a task that fits there; lower is better."""
+    fetch_s = 0.0 if spec.image in node.images else spec.image_gb / max(node.type.fetch_gb_per_s, 1e-3)
+    weight = FETCH_WEIGHT_URGENT if spec.rank >= 2 else FETCH_WEIGHT
+    total = weight * fetch_s + (0.0 if node.spot else ON_DEMAND) + (node.cpus - spec.cpus) / max(node.type.cpus, 1.0)
+    if spec.cpus <= smallest_cpus < node.type.cpus:
+        # Small tasks leave large machines whole while a small one has room,
+        # and first use up the large ones that are broken into already.
+        total += WHOLE_MACHINE * (1.0 if node.cpus >= largest_cpus / 2 else 0.3)
+    return total
+
+
+def as_running(spec: JobSpec, key: TaskKey) -> Running:
+    return Running(key, spec, spec.team, spec.rank, spec.cpus, spec.gpus or 0.0, spec.memory_gb)
+
+
+def find(spec: JobSpec, zones: dict[str, int], nodes: list[Node], reserved: dict[str, list[Nomination]],
+         avoid: frozenset[str], smallest_cpus: float, largest_cpus: float) -> Node | None:
+    """The best machine that fits now, beside the tasks nominated there."""
+    best: tuple[float, str] | None = None
+    chosen: Node | None = None
+    for node in nodes:
+        if (spec.cpus > node.cpus + 1e-6 or not node.ready or node.id in avoid or not allowed(spec, node)
+                or not zone_allowed(spec, zones, node.zone)):
+            continue
+        if not preemption.room_beside(spec, node, reserved.get(node.id, ())):
+            continue
+        rank = (cost(spec, node, smallest_cpus, largest_cpus), node.id)
+        if best is None or rank < best:
+            best, chosen = rank, node
+    return chosen
+
+
+def decide(snapshot: Snapshot, max_placed: int, max_evictions: int, may_preempt: bool = True) -> Decision:
+    """One round. Works on the snapshot, which is used up by it."""
+    decision = Decision()
+    usage = snapshot.usage
+    nodes = [node for node in snapshot.nodes.values() if node.up]
+    smallest = min((kind.cpus for kind in snapshot.types.values()), default=0.0)
+    largest = max((kind.cpus for kind in snapshot.types.values()), default=0.0)
+    reserved: dict[str, list[Nomination]] = {}
+    for nomination in snapshot.nominations.values():
+        reserved.setdefault(nomination.machine, []).append(nomination)
+    for job in sorted(snapshot.waiting, key=lambda job: order_key(job, snapshot, usage)):
+        spec = job.spec
+        team = snapshot.teams.get(spec.team)
+        used = usage.setdefault(spec.team, Usage())
+        nominated = 0
+        stuck = False
+        for index in job.tasks:
+            if len(decision.placed) >= max_placed:
+                break
+            if not within_limit(spec, team, used):
+                break
+            own = snapshot.nominations.get((spec.id, index))
+            target: Node | None = None
+            if own is not None:
+                # Its own nomination must not stand in its way.
+                reserved[own.machine].remove(own)
+                node = snapshot.nodes.get(own.machine)
+                if (node is not None and node.ready and zone_allowed(spec, job.zones, node.zone)
+                        and preemption.room_beside(spec, node, reserved[own.machine])):
+                    target = node
+            if target is None and not stuck:
+                target = find(spec, job.zones, nodes, reserved, job.avoid, smallest, largest)
+            if target is None:
+                if own is not None:
+                    reserved[own.machine].append(own)
+                    nominated += 1
+                    continue
+                stuck = True
+                if not may_preempt or len(decision.evictions) >= max_evictions:
+                    break
+                eviction = preemption.preempt(spec, job.zones, nodes, list(snapshot.nominations.values()),
+                                              snapshot.teams, usage, job.avoid)
+                if eviction is None:
+                    break  # the job's other tasks are alike: no trial helps them either
+                key = (spec.id, index)
+                decision.evictions.append((key, eviction))
+                node = snapshot.nodes[eviction.machine]
+                for victim in eviction.victims:
+                    victim.leaving = True
+                for lower in [n for n in reserved.get(node.id, []) if n.rank < spec.rank]:
+                    # They lose the nomination and return to waiting.
+                    reserved[node.id].remove(lower)
+                    snapshot.nominations.pop(lower.key, None)
+                nomination = Nomination(key, node.id, spec.rank, spec, 0.0)
+                snapshot.nominations[key] = nomination
+                reserved.setdefault(node.id, []).append(nomination)
+                nominated += 1
+                used.cpus += spec.cpus
+                used.gpus += spec.gpus or 0.0
+                continue
+            target.take(as_running(spec, (spec.id, index)))
+            job.zones[target.zone] = job.zones.get(target.zone, 0) + 1
+            used.cpus += spec.cpus
+            used.gpus += spec.gpus or 0.0
+            decision.placed.append(((spec.id, index), target.id))
+            snapshot.nominations.pop((spec.id, index), None)
+            job.count -= 1
+        left = job.count - nominated
+        if stuck and left > 0 and within_limit(spec, team, used):
+            decision.unmet.append((job, left))
+    return decision
--- /dev/null
+++ b/stileloft/coordination/scaling.py
@@ -0,0 +1,154 @@
+"""Which machines to rent and which to return."""
+
+from dataclasses import dataclass, field
+
+from stileloft.bookkeeping.model import fits_type
+from stileloft.coordination.placement import as_running
+from stileloft.coordination.snapshot import Node, Snapshot, Waiting, allowed, zone_allowed
+from stileloft.protocol.messages import JobSpec, MachineType
+
+Offer = tuple[str, str, bool]
+"""Machine type, zone, spot."""
+
+# Idle machines are kept for this multiple of their boot time before they are returned.
+KEEP_SPOT_BOOTS = 1.0
+KEEP_ON_DEMAND_BOOTS = 0.3
+# Waiting that the present machines will end within this part of a boot does not pay a rental.
+WAIT_BOOTS = 0.4
+MAX_NEW = 8
+
+
+@dataclass(slots=True)
+class Plan:
+    rent: dict[Offer, int] = field(default_factory=dict)
+    give_back: list[str] = field(default_factory=list)
+
+
+def price(kind: MachineType, spot: bool) -> float:
+    return kind.spot_price if spot else kind.price
+
+
+def offers_for(spec: JobSpec, types: dict[str, MachineType], refused: set[Offer]) -> list[tuple[float, Offer]]:
+    """What could be rented for a task of this job, with the price of its share of the machine."""
+    found: list[tuple[float, Offer]] = []
+    for kind in types.values():
+        if not fits_type(spec, kind):
+            continue
+        slots = min(
+            int((kind.cpus + 1e-6) / spec.cpus) if spec.cpus else 1000,
+            int((kind.memory_gb + 1e-6) / spec.memory_gb) if spec.memory_gb else 1000,
+            int((kind.gpus + 1e-6) / spec.gpus) if spec.gpus else 1000,
+        )
+        for zone in kind.zones:
+            if spec.zone is not None and spec.zone != zone:
+                continue
+            for spot in (True, False):
+                if spot and not spec.spot:
+                    continue
+                if (kind.name, zone, spot) not in refused:
+                    found.append((price(kind, spot) / max(1, slots), (kind.name, zone, spot)))
+    return found
+
+
+def choose(spec: JobSpec, snapshot: Snapshot, refused: set[Offer], rented: dict[Offer, int],
+           zones: dict[str, int]) -> Offer | None:
+    """The cheapest offer; among near equals the smallest type, and the zone we use least."""
+    smallest = min((kind.cpus for kind in snapshot.types.values()), default=0.0)
+    in_zone: dict[tuple[str, str], int] = {}
+    for node in snapshot.nodes.values():
+        key = (node.type.name, node.zone)
+        in_zone[key] = in_zone.get(key, 0) + 1
+    best: tuple[tuple[float, int, str], Offer] | None = None
+    for share, offer in offers_for(spec, snapshot.types, refused):
+        name, zone, _ = offer
+        if not zone_allowed(spec, zones, zone):
+            continue
+        # Large machines are kept for the tasks that need them.
+        weight = 1.3 if spec.cpus <= smallest < snapshot.types[name].cpus else 1.0
+        used = in_zone.get((name, zone), 0) + rented.get(offer, 0)
+        order = (round(share * weight, 4), used, zone)
+        if best is None or order < best[0]:
+            best = order, offer
+    return best[1] if best else None
+
+
+def plan(snapshot: Snapshot, unmet: list[tuple[Waiting, int]], refused: set[Offer],
+         headroom: list[tuple[JobSpec, int]], max_new: int = MAX_NEW) -> Plan:
+    """Rentals for what will not be served in time, and idle machines to return.
+
+    `headroom` names tasks that should find room at once if they came now.
+    """
+    result = Plan()
+    coming = [node for node in snapshot.nodes.values() if not node.up]
+    made = 0
+
+    def rent(spec: JobSpec, zones: dict[str, int]) -> Node | None:
+        nonlocal made
+        if made >= max_new:
+            return None
+        offer = choose(spec, snapshot, refused, result.rent, zones)
+        if offer is None:
+            return None
+        name, zone, spot = offer
+        made += 1
+        result.rent[offer] = result.rent.get(offer, 0) + 1
+        node = Node(f"new-{made}", snapshot.types[name], zone, spot, True, False, 0.0)
+        node.settle()
+        coming.append(node)
+        return node
+
+    def take(spec: JobSpec, count: int, zones: dict[str, int], nodes: list[Node], index: int) -> int:
+        """Puts up to `count` tasks into the nodes' room; returns how many are left."""
+        for node in nodes:
+            while count and allowed(spec, node) and zone_allowed(spec, zones, node.zone) and node.has_room(
+                    spec.cpus, spec.gpus or 0.0, spec.memory_gb):
+                node.take(as_running(spec, (spec.id, -index - count)))
+                zones[node.zone] = zones.get(node.zone, 0) + 1
+                count -= 1
+        return count
+
+    for job, count in unmet:
+        spec = job.spec
+        zones = dict(job.zones)
+        left = take(spec, count, zones, coming, 0)
+        if left and soon_served(spec, left, job.estimate_s, snapshot):
+            continue
+        while left:
+            node = rent(spec, zones)
+            if node is None:
+                break
+            left = take(spec, left, zones, [node], 0)
+    usable = [node for node in snapshot.nodes.values() if node.ready]
+    for spec, count in headroom:
+        # Idle room counts, whether it is up or coming.
+        left = take(spec, count, {}, usable + [n for n in coming if n not in usable], 1)
+        while left:
+            node = rent(spec, {})
+            if node is None:
+                break
+            left = take(spec, left, {}, [node], 1)
+    for node in sorted(usable, key=lambda node: (node.spot, -price(node.type, node.spot), node.id)):
+        boots = KEEP_SPOT_BOOTS if node.spot else KEEP_ON_DEMAND_BOOTS
+        if node.up and not node.tasks and node.idle_s > boots * node.type.boot_s:
+            result.give_back.append(node.id)
+    return result
+
+
+def soon_served(spec: JobSpec, count: int, estimate_s: float, snapshot: Snapshot) -> bool:
+    """Whether the present machines will have room well before a new one could be up."""
+    soon = 0
+    boot_s = min((kind.boot_s for kind in snapshot.types.values() if fits_type(spec, kind)), default=0.0)
+    horizon = WAIT_BOOTS * boot_s
+    for node in snapshot.nodes.values():
+        if not node.ready or not node.up or not allowed(spec, node):
+            continue
+        cpus, memory_gb = node.cpus, node.memory_gb
+        for task in node.tasks:
+            if task.remaining_s <= horizon:
+                cpus += task.cpus
+                memory_gb += task.memory_gb
+        if spec.cpus and spec.memory_gb:
+            soon += int(min(cpus / spec.cpus, memory_gb / spec.memory_gb))
+        if soon >= count:
+            return True
+    return False
--- /dev/null
+++ b/stileloft/coordination/snapshot.py
@@ -0,0 +1,161 @@
+"""A copy of the leader's picture that the decisions are functions of."""
+
+from dataclasses import dataclass, field
+
+from stileloft.bookkeeping.model import TaskKey
+from stileloft.protocol.messages import JobSpec, MachineType
+from stileloft.settings import Team
+
+EPSILON = 1e-6
+
+
+@dataclass(slots=True)
+class Running:
+    """A task that takes room on a machine."""
+
+    key: TaskKey
+    spec: JobSpec | None
+    team: str
+    rank: int
+    cpus: float
+    gpus: float
+    memory_gb: float
+    unsaved_s: float = 0.0
+    remaining_s: float = 0.0
+    age_s: float = 0.0
+    leaving: bool = False
+    """It is already being stopped."""
+    safe: bool = True
+    """Stopping it does not yet break its job's budget."""
+
+
+@dataclass(slots=True)
+class Node:
+    """A machine as the decisions see it."""
+
+    id: str
+    type: MachineType
+    zone: str
+    spot: bool
+    ready: bool
+    up: bool
+    wait_s: float
+    """Seconds until it is expected up; 0 when it is."""
+    tasks: list[Running] = field(default_factory=list)
+    images: frozenset[str] = frozenset()
+    cpus: float = 0.0
+    gpus: float = 0.0
+    memory_gb: float = 0.0
+    idle_s: float = 0.0
+    age_s: float = 0.0
+
+    def settle(self) -> None:
+        """Computes what is free from the machine's size and its tasks."""
+        self.cpus = self.type.cpus - sum(task.cpus for task in self.tasks)
+        self.gpus = self.type.gpus - sum(task.gpus for task in self.tasks)
+        self.memory_gb = self.type.memory_gb - sum(task.memory_gb for task in self.tasks)
+
+    def take(self, task: Running) -> None:
+        self.tasks.append(task)
+        self.cpus -= task.cpus
+        self.gpus -= task.gpus
+        self.memory_gb -= task.memory_gb
+
+    def give(self, task: Running) -> None:
+        self.tasks.remove(task)
+        self.cpus += task.cpus
+        self.gpus += task.gpus
+        self.memory_gb += task.memory_gb
+
+    def has_room(self, cpus: float, gpus: float, memory_gb: float) -> bool:
+        return (cpus <= self.cpus + EPSILON and gpus <= self.gpus + EPSILON
+                and memory_gb <= self.memory_gb + EPSILON)
+
+
+@dataclass(slots=True)
+class Waiting:
+    """A job with tasks that wait for a machine."""
+
+    spec: JobSpec
+    submitted: float
+    count: int
+    """How many tasks wait."""
+    tasks: list[int]
+    """Some of them, lowest numbers first."""
+    zones: dict[str, int]
+    """Tasks that are placed, by zone."""
+    estimate_s: float
+    avoid: frozenset[str] = frozenset()
+    """Machines on which the job failed."""
+
+
+@dataclass(slots=True)
+class Usage:
+    """What a team's tasks take, all placed and unheard ones included."""
+
+    cpus: float = 0.0
+    gpus: float = 0.0
+
+
+@dataclass(slots=True)
+class Nomination:
+    """Room that is being made on a machine for a task."""
+
+    key: TaskKey
+    machine: str
+    rank: int
+    spec: JobSpec
+    until: float
+
+
+@dataclass(slots=True)
+class Snapshot:
+    now: float
+    """Time of day, for deadlines."""
+    nodes: dict[str, Node]
+    waiting: list[Waiting]
+    teams: dict[str, Team]
+    usage: dict[str, Usage]
+    nominations: dict[TaskKey, Nomination]
+    types: dict[str, MachineType]
+
+
+def allowed(spec: JobSpec, node: Node) -> bool:
+    """Type, zone and kind of machine, which no wait will change."""
+    return (
+        (spec.types is None or node.type.name in spec.types)
+        and (spec.zone is None or spec.zone == node.zone)
+        and (not node.spot or bool(spec.spot))
+    )
+
+
+def zone_allowed(spec: JobSpec, zones: dict[str, int], zone: str) -> bool:
+    """Whether one more task of the job may be in this zone, given the placed ones."""
+    if spec.one_zone and any(count > 0 for other, count in zones.items() if other != zone):
+        return False
+    return not (spec.spread and zones.get(zone, 0) + 1 > (spec.tasks + 1) // 2)
+
+
+def within_limit(spec: JobSpec, team: Team | None, usage: Usage, cpus_back: float = 0.0,
+                 gpus_back: float = 0.0) -> bool:
+    """Whether one more task keeps the team within its limit; `*_back` is given up for it."""
+    if team is None:
+        return False
+    if team.cpus_max and usage.cpus - cpus_back + spec.cpus > team.cpus_max + EPSILON:
+        return False
+    return not (team.gpus_max and usage.gpus - gpus_back + (spec.gpus or 0.0) > team.gpus_max + EPSILON)
+
+
+def within_guarantee(spec: JobSpec, team: Team | None, usage: Usage) -> bool:
+    """Whether the team stays within what it is guaranteed with one more task."""
+    if team is None or not (team.cpus or team.gpus):
+        return False
+    return (usage.cpus + spec.cpus <= team.cpus + EPSILON
+            and usage.gpus + (spec.gpus or 0.0) <= team.gpus + EPSILON)
+
+
+def beyond_guarantee(team: Team | None, usage: Usage) -> bool:
+    """Whether the team uses more than it is guaranteed."""
+    if team is None:
+        return True
+    return usage.cpus > team.cpus + EPSILON or usage.gpus > team.gpus + EPSILON
--- /dev/null
+++ b/stileloft/protocol/__init__.py
@@ -0,0 +1,1 @@
+"""Messages of the wire, and who is asked and answered in them."""
--- /dev/null
+++ b/stileloft/protocol/cloud.py
@@ -0,0 +1,69 @@
+"""The client of the cloud that rents machines."""
+
+import msgspec
+
+from stileloft.protocol.messages import ListedMachine, MachineType
+from stileloft.protocol.state import Budget
+from stileloft.transport.client import Client, Refused, Unanswered
+
+RENT_LIMIT = 50
+RELEASE_LIMIT = 100
+
+
+class CloudTrouble(Exception):
+    """The call failed; a rental or a release may have been carried out all the same."""
+
+
+class NoCapacity(Exception):
+    """Nothing of this type, zone and kind is to be had now."""
+
+
+class CloudClient:
+    def __init__(self, client: Client, address: str, timeout_s: float, budget: Budget) -> None:
+        self._client = client
+        self._address = address
+        self._timeout_s = timeout_s
+        self._budget = budget
+
+    async def _ask(self, method: str, path: str, body: object = None):
+        if not self._budget.take():
+            raise CloudTrouble("own budget spent")
+        try:
+            return await self._client.request(method, self._address, path, body, self._timeout_s)
+        except (Refused, Unanswered) as error:
+            raise CloudTrouble(str(error)) from None
+
+    async def machine_types(self) -> list[MachineType]:
+        reply = await self._ask("GET", "/machine_types")
+        if reply.status != 200:
+            raise CloudTrouble(f"status {reply.status}")
+        return msgspec.convert(reply.body["builds"], list[MachineType])
+
+    async def machines(self) -> list[ListedMachine]:
+        found: list[ListedMachine] = []
+        after = ""
+        while True:
+            since = f"since={after}&" if after else ""
+            reply = await self._ask("GET", f"/hosts?{since}limit=500")
+            if reply.status != 200:
+                raise CloudTrouble(f"status {reply.status}")
+            page = msgspec.convert(reply.body["hosts"], list[ListedMachine])
+            found += page
+            if not reply.body.get("more") or not page:
+                return found
+            after = page[-1].id
+
+    async def rent(self, request: str, type_name: str, zone: str, spot: bool, count: int) -> list[str]:
+        body = {"hire": request, "build": type_name, "yard": zone, "loaner": spot,
+                "count": min(count, RENT_LIMIT)}
+        reply = await self._ask("POST", "/hosts", body)
+        if reply.status == 200:
+            return list(reply.body["hosts"])
+        if reply.status == 503 and isinstance(reply.body, dict) and reply.body.get("error") == "no capacity":
+            raise NoCapacity
+        raise CloudTrouble(f"status {reply.status}: {reply.body}")
+
+    async def release(self, machines: list[str]) -> None:
+        reply = await self._ask("POST", "/hosts/release", {"hosts": machines[:RELEASE_LIMIT]})
+        if reply.status != 200:
+            raise CloudTrouble(f"status {reply.status}")
--- /dev/null
+++ b/stileloft/protocol/messages.py
@@ -0,0 +1,162 @@
+"""Messages of the wire, checked, with the wire's names turned into the field's terms.
+
+The wire says crew, baton, stint, pieces and the like; every other module says
+team, token, session, tasks. This module and its neighbours translate.
+"""
+
+import math
+from typing import Annotated, Any, Literal
+
+import cbor2
+import msgspec
+from msgspec import Meta, Struct, field
+
+JOB_ID = r"^j-[0-9]{1,30}$"
+MAX_TASKS = 100_000
+
+Name = Annotated[str, Meta(min_length=1, max_length=200)]
+Amount = Annotated[float, Meta(ge=0)]
+PRIORITIES = {"production": 3, "urgent": 2, "standard": 1, "idle": 0}
+PHASES = {"queued": "pending", "running": "running", "done": "done", "cancelled": "aborted"}
+
+
+def encode(value: Any) -> bytes:
+    return cbor2.dumps(value)
+
+
+def decode(data: bytes) -> Any:
+    return cbor2.loads(data)
+
+
+class JobSpec(Struct, frozen=True, omit_defaults=True):
+    """A job as its user described it."""
+
+    id: Annotated[str, Meta(pattern=JOB_ID)] = field(name="nameId")
+    job_class: Name = field(name="lane")
+    team: Name = field(name="crew")
+    kind: Literal["array"] = field(name="shape")
+    priority: Literal["production", "urgent", "standard", "idle"] = field(name="urgency")
+    tasks: Annotated[int, Meta(ge=1, le=MAX_TASKS)] = field(name="pieces")
+    cpus: Amount = field(name="vcpus")
+    memory_gb: Amount = field(name="memGb")
+    image: Name = field(name="bundle")
+    image_gb: Amount = field(name="imageGb")
+    estimate_s: Amount = field(name="guessS")
+    gpus: Amount | None = field(name="accelerators", default=None)
+    checkpoint_s: Amount | None = field(name="snapshotS", default=None)
+    save_s: Amount | None = field(name="stashS", default=None)
+    types: Annotated[list[Name], Meta(max_length=64)] | None = field(name="builds", default=None)
+    zone: Name | None = field(name="yard", default=None)
+    one_zone: bool | None = field(name="together", default=None)
+    spread: bool | None = None
+    spot: bool | None = field(name="loaner", default=None)
+    deadline_s: Amount | None = field(name="dueS", default=None)
+
+    @property
+    def rank(self) -> int:
+        return PRIORITIES[self.priority]
+
+
+class Malformed(Exception):
+    """A body that breaks the protocol; the text is a short reason."""
+
+
+def parse_job(body: Any) -> JobSpec:
+    if not isinstance(body, dict):
+        raise Malformed("the body must be a map")
+    try:
+        spec = msgspec.convert(body, JobSpec)
+    except msgspec.ValidationError as error:
+        raise Malformed(str(error)) from None
+    amounts = (spec.cpus, spec.gpus, spec.memory_gb, spec.image_gb, spec.estimate_s,
+               spec.checkpoint_s, spec.save_s, spec.deadline_s)
+    # msgspec's bounds let infinities and not-a-number through.
+    if not all(amount is None or math.isfinite(amount) for amount in amounts):
+        raise Malformed("an amount is not finite")
+    if spec.cpus == 0 and not spec.gpus:
+        raise Malformed("a task must take processors or accelerators")
+    return spec
+
+
+def job_to_wire(spec: JobSpec) -> dict[str, Any]:
+    return msgspec.to_builtins(spec)
+
+
+def job_from_wire(stored: dict[str, Any]) -> JobSpec:
+    return msgspec.convert(stored, JobSpec)
+
+
+def state_answer(job: str, phase: str, done: int | None = None, running: int | None = None) -> dict[str, Any]:
+    answer: dict[str, Any] = {"nameId": job, "phase": PHASES[phase]}
+    if done is not None:
+        answer["done"] = done
+    if running is not None:
+        answer["running"] = running
+    return answer
+
+
+class TaskReport(Struct):
+    task: str = field(name="piece")
+    attempt: int = field(name="try")
+    state: str = field(name="phase")
+    why: str | None = field(name="cause", default=None)
+    saved: bool | None = field(name="kept", default=None)
+
+
+class Report(Struct):
+    machine: str = field(name="host")
+    address: str = field(name="endpoint")
+    type: str = field(name="build")
+    zone: str = field(name="yard")
+    session: int = field(name="stint")
+    seq: int = field(name="tick")
+    token: int = field(name="baton")
+    spot: bool = field(name="loaner", default=False)
+    notice_s: float | None = field(name="warningS", default=None)
+    tasks: list[TaskReport] = field(name="pieces", default_factory=list)
+
+
+def parse_report(body: Any) -> Report:
+    try:
+        return msgspec.convert(body, Report)
+    except msgspec.ValidationError as error:
+        raise Malformed(str(error)) from None
+
+
+class MachineType(Struct, frozen=True):
+    name: str = field(name="label")
+    cpus: float = field(name="vcpus")
+    memory_gb: float = field(name="memGb")
+    price: float
+    spot_price: float = field(name="spotPrice")
+    boot_s: float = field(name="bootS")
+    zones: tuple[str, ...] = field(name="yards")
+    cache_gb: float = field(name="cacheGb", default=0.0)
+    fetch_gb_per_s: float = field(name="pullGbPerS", default=1.0)
+    gpus: float = field(name="accelerators", default=0.0)
+
+
+class ListedMachine(Struct, frozen=True):
+    id: str = field(name="nameId")
+    address: str = field(name="endpoint")
+    type: str = field(name="build")
+    zone: str = field(name="yard")
+    state: str = field(name="phase")
+    age_s: float = field(name="ageS", default=0.0)
+    spot: bool = field(name="loaner", default=False)
+
+
+def start(task: str, attempt: int) -> dict[str, Any]:
+    return {"verb": "launch", "piece": task, "try": attempt}
+
+
+def stop(task: str, attempt: int, grace_s: float) -> dict[str, Any]:
+    return {"verb": "stop", "piece": task, "try": attempt, "windDownS": grace_s}
+
+
+def forget(task: str, attempt: int) -> dict[str, Any]:
+    return {"verb": "forget", "piece": task, "try": attempt}
+
+
+def orders(token: int, commands: list[dict[str, Any]]) -> dict[str, Any]:
+    return {"baton": token, "orders": commands}
--- /dev/null
+++ b/stileloft/protocol/state.py
@@ -0,0 +1,161 @@
+"""The client of the state service: what was executed, what was not, and what is unknown."""
+
+from typing import Any
+
+
+from stileloft.transport.client import Client, Refused, Unanswered
+from stileloft.transport.clock import Clock
+
+
+class Unavailable(Exception):
+    """The request was not executed (503, 429, no connection, or our own budget is spent)."""
+
+    def __init__(self, reason: str, retry_after_s: float = 1.0) -> None:
+        super().__init__(reason)
+        self.retry_after_s = retry_after_s
+
+
+class Unknown(Exception):
+    """The request may have been executed, or may still be."""
+
+
+class Conflict(Exception):
+    """A guard failed, so nothing was written."""
+
+    def __init__(self, failed: list[str]) -> None:
+        super().__init__(", ".join(failed))
+        self.failed = failed
+
+
+class LeaseGone(Exception):
+    """The lease has ended."""
+
+
+class Compacted(Exception):
+    """The watch's revision is too old; the keys have to be read again."""
+
+
+class Budget:
+    """A token bucket with one second's worth of burst."""
+
+    def __init__(self, clock: Clock, per_s: float) -> None:
+        self._clock = clock
+        self.per_s = per_s
+        self._level = max(1.0, per_s)
+        self._at = clock.seconds()
+
+    def _fill(self) -> None:
+        now = self._clock.seconds()
+        self._level = min(max(1.0, self.per_s), self._level + (now - self._at) * self.per_s)
+        self._at = now
+
+    def take(self, amount: float = 1.0) -> bool:
+        self._fill()
+        if self._level < amount:
+            return False
+        self._level -= amount
+        return True
+
+    def level(self) -> float:
+        self._fill()
+        return self._level
+
+
+class StateClient:
+    """Requests to the store; each ends in a value or one of this module's errors."""
+
+    def __init__(self, client: Client, address: str, timeout_s: float) -> None:
+        self._client = client
+        self._address = address
+        self._timeout_s = timeout_s
+
+    async def _ask(self, method: str, path: str, body: Any = None, timeout_s: float | None = None) -> Any:
+        try:
+            reply = await self._client.request(method, self._address, path, body, timeout_s or self._timeout_s)
+        except Refused as error:
+            raise Unavailable(f"no connection: {error}") from None
+        except Unanswered as error:
+            raise Unknown(str(error)) from None
+        if reply.status in (429, 503):
+            raise Unavailable(f"status {reply.status}")
+        return reply
+
+    async def get(self, key: str) -> tuple[Any, int, int | None] | None:
+        """Value, version and lease of a key, or None if it does not exist."""
+        reply = await self._ask("GET", f"/kv/{key}")
+        if reply.status == 404:
+            return None
+        if reply.status != 200:
+            raise Unavailable(f"status {reply.status}")
+        return reply.body["v"], reply.body["stamp"], reply.body.get("hold")
+
+    async def scan(self, prefix: str, limit: int = 500) -> tuple[list[tuple[str, Any, int]], int]:
+        """All items under a prefix, and the revision of the first page."""
+        items: list[tuple[str, Any, int]] = []
+        revision: int | None = None
+        after = ""
+        while True:
+            since = f"&since={after}" if after else ""
+            reply = await self._ask("GET", f"/kv?under={prefix}{since}&limit={limit}")
+            if reply.status != 200:
+                raise Unavailable(f"status {reply.status}")
+            if revision is None:
+                # Changes during later pages are seen again by a watch from here.
+                revision = reply.body["epoch"]
+            for item in reply.body["pairs"]:
+                items.append((item["path"], item["v"], item["stamp"]))
+            if not reply.body.get("more") or not reply.body["pairs"]:
+                return items, revision
+            after = items[-1][0]
+
+    async def commit(self, guards: dict[str, int], puts: dict[str, Any], deletes: list[str],
+                     lease: int | None = None) -> int:
+        """One transaction; `lease` is attached to its puts. Returns the revision."""
+        writes: list[dict[str, Any]] = []
+        for key, value in puts.items():
+            write = {"set": key, "v": value}
+            if lease is not None:
+                write["hold"] = lease
+            writes.append(write)
+        writes += [{"delete": key} for key in deletes]
+        body = {"guards": [{"path": key, "stamp": version} for key, version in guards.items()], "writes": writes}
+        reply = await self._ask("POST", "/commit", body)
+        if reply.status == 200:
+            return reply.body["epoch"]
+        if reply.status == 409:
+            raise Conflict(list(reply.body.get("failed", [])))
+        if reply.status == 400 and lease is not None:
+            raise LeaseGone
+        raise Unavailable(f"status {reply.status}: {reply.body}")
+
+    async def new_lease(self, life_s: float) -> int:
+        reply = await self._ask("POST", "/holds", {"lifeMs": int(life_s * 1000)}, life_s / 2)
+        if reply.status != 200:
+            raise Unavailable(f"status {reply.status}")
+        return reply.body["hold"]
+
+    async def renew(self, lease: int, timeout_s: float) -> None:
+        reply = await self._ask("POST", f"/holds/{lease}/extend", {}, timeout_s)
+        if reply.status == 404:
+            raise LeaseGone
+        if reply.status != 200:
+            raise Unavailable(f"status {reply.status}")
+
+    async def end_lease(self, lease: int) -> None:
+        await self._ask("DELETE", f"/holds/{lease}")
+
+    async def watch(self, prefix: str, revision: int, wait_s: float) -> tuple[int, list[tuple[str, Any, int]]]:
+        """Changes after a revision: key, value (None: deleted), version."""
+        reply = await self._ask("GET", f"/watch?under={prefix}&since={revision}&blockMs={int(wait_s * 1000)}",
+                                timeout_s=wait_s + self._timeout_s)
+        if reply.status == 410:
+            raise Compacted
+        if reply.status != 200:
+            raise Unavailable(f"status {reply.status}")
+        events = []
+        for event in reply.body["news"]:
+            if "set" in event:
+                events.append((event["set"], event["v"], event["stamp"]))
+            else:
+                events.append((event["delete"], None, event["stamp"]))
+        return reply.body["epoch"], events
--- /dev/null
+++ b/stileloft/protocol/workers.py
@@ -0,0 +1,38 @@
+"""Direct commands to workers."""
+
+from typing import Any
+
+from stileloft.protocol.messages import Malformed, Report, orders, parse_report
+from stileloft.transport.client import Client, Refused, Unanswered
+
+
+class NotDelivered(Exception):
+    """The commands were certainly not executed."""
+
+
+class Uncertain(Exception):
+    """The commands may have been executed, or may be later."""
+
+
+class WorkerClient:
+    def __init__(self, client: Client, timeout_s: float) -> None:
+        self._client = client
+        self._timeout_s = timeout_s
+
+    async def command(self, address: str, token: int, session: int,
+                      commands: list[dict[str, Any]]) -> tuple[bool, Report]:
+        """Whether the commands were executed, and the worker's report."""
+        body = orders(token, commands)
+        body["stint"] = session
+        try:
+            reply = await self._client.request("POST", address, "/do", body, self._timeout_s)
+        except Refused as error:
+            raise NotDelivered(str(error)) from None
+        except Unanswered as error:
+            raise Uncertain(str(error)) from None
+        if reply.status in (200, 409):
+            try:
+                return reply.status == 200, parse_report(reply.body)
+            except Malformed as error:
+                raise Uncertain(f"unreadable report: {error}") from None
+        raise NotDelivered(f"status {reply.status}")
--- /dev/null
+++ b/stileloft/transport/client.py
@@ -0,0 +1,107 @@
+"""A pooled HTTP client whose failures tell whether a request may have been executed."""
+
+from collections.abc import Callable
+from typing import Any
+
+from twisted.internet import defer, error
+from twisted.web.client import Agent, HTTPConnectionPool, readBody
+from twisted.web.http_headers import Headers
+from twisted.web.iweb import IBodyProducer
+from zope.interface import implementer
+
+from stileloft.transport.clock import Clock
+
+
+class Refused(Exception):
+    """The request was certainly not executed: no connection was made."""
+
+
+class Unanswered(Exception):
+    """No usable answer: the request may have been executed, or may be later."""
+
+
+@implementer(IBodyProducer)
+class _Body:
+    def __init__(self, data: bytes) -> None:
+        self.data = data
+        self.length = len(data)
+
+    def startProducing(self, consumer: Any) -> defer.Deferred:
+        consumer.write(self.data)
+        return defer.succeed(None)
+
+    def pauseProducing(self) -> None:
+        pass
+
+    def resumeProducing(self) -> None:
+        pass
+
+    def stopProducing(self) -> None:
+        pass
+
+
+class Reply:
+    """A status, and the decoded body (None when there is none or it cannot be read)."""
+
+    __slots__ = ("status", "body")
+
+    def __init__(self, status: int, body: Any) -> None:
+        self.status = status
+        self.body = body
+
+
+class Client:
+    """Requests with bodies in one encoding, over persistent connections."""
+
+    def __init__(
+        self,
+        reactor: Any,
+        encode: Callable[[Any], bytes],
+        decode: Callable[[bytes], Any],
+        media: bytes,
+        per_host: int,
+        connect_s: float,
+        idle_s: float,
+    ) -> None:
+        self._clock: Clock = reactor
+        self._encode = encode
+        self._decode = decode
+        self._headers = Headers({b"Content-Type": [media]})
+        self._plain = Headers({})
+        pool = HTTPConnectionPool(reactor, persistent=True)
+        pool.maxPersistentPerHost = per_host
+        pool.cachedConnectionTimeout = round(idle_s)
+        # A repeat must be the caller's decision: it knows whether one is harmless.
+        pool.retryAutomatically = False
+        self._agent = Agent(reactor, connectTimeout=connect_s, pool=pool)
+
+    async def request(self, method: str, address: str, path: str, body: Any, timeout_s: float) -> Reply:
+        url = f"http://{address}{path}".encode()
+        producer: Any = _Body(self._encode(body)) if body is not None else None
+        headers = self._headers if producer is not None else self._plain
+        sent = self._agent.request(method.encode(), url, headers, producer)
+        timer = self._clock.callLater(timeout_s, sent.cancel)
+        try:
+            response = await sent
+        except (error.ConnectError, error.ConnectingCancelledError) as failure:
+            raise Refused(str(failure)) from None
+        except Exception as failure:
+            raise Unanswered(repr(failure)) from None
+        finally:
+            if timer.active():
+                timer.cancel()
+        reading = readBody(response)
+        timer = self._clock.callLater(timeout_s, reading.cancel)
+        try:
+            data = await reading
+        except Exception as failure:
+            raise Unanswered(repr(failure)) from None
+        finally:
+            if timer.active():
+                timer.cancel()
+        if not data:
+            return Reply(response.code, None)
+        try:
+            return Reply(response.code, self._decode(data))
+        except Exception as failure:
+            raise Unanswered(f"unreadable body: {failure!r}") from None
