--- a/stileloft/coordination/admission.py
+++ b/stileloft/coordination/admission.py
@@ -4,7 +4,6 @@
 from collections import OrderedDict
 from typing import Any, Protocol
 
-
 from stileloft.bookkeeping import records
 from stileloft.bookkeeping.model import fits_type
 from stileloft.protocol.messages import JobSpec, MachineType, job_to_wire, state_answer
--- a/stileloft/coordination/node.py
+++ b/stileloft/coordination/node.py
@@ -134,11 +134,6 @@
         return Answer(200, term.on_report(report))
 
 
-def _orjson_loads(data: bytes) -> Any:
-    return orjson.loads(data)
-
-
-
     # -- administration ---------------------------------------------------------
 
     def status(self) -> dict[str, Any]:
@@ -155,3 +150,7 @@
         if self.term is not None:
             answer["term"] = self.term.status()
         return answer
+
+
+def _orjson_loads(data: bytes) -> Any:
+    return orjson.loads(data)
--- a/stileloft/protocol/state.py
+++ b/stileloft/protocol/state.py
@@ -2,7 +2,6 @@
 
 from typing import Any
 
-
 from stileloft.transport.client import Client, Refused, Unanswered
 from stileloft.transport.clock import Clock
 
