--- a/stileloft/coordination/dispatch.py
+++ b/stileloft/coordination/dispatch.py
@@ -43,6 +43,8 @@
         machine.type, machine.zone, machine.spot = report.type, report.zone, report.spot
         if machine.up_since is None:
             machine.up_since = now
+            # Failures from before it was up say nothing about it.
+            machine.send_failures, machine.retry_at = 0, 0.0
             log.info("machine %s is up: %s in %s%s", machine.id, machine.type, machine.zone,
                      ", spot" if machine.spot else "")
             term.poke()
@@ -197,7 +199,7 @@
         starts = self._starts(machine)[:MAX_COMMANDS]
         commands = self._stops(machine) + self._forgets(machine)
         commands += [messages.start(p.task, p.attempt) for p in starts]
-        if not commands and machine.trusted:
+        if not commands and (machine.trusted or not self._worth_claiming(machine)):
             return
         machine.sending = True
         session = machine.session or 1
@@ -205,6 +207,11 @@
             placement.sent_session = session
         defer.ensureDeferred(self._send(machine, session, commands, starts))
 
+    @staticmethod
+    def _worth_claiming(machine: Machine) -> bool:
+        """A machine that is still booting answers nothing, and reports by itself when it is up."""
+        return machine.reported or bool(machine.placements) or machine.listed_state == "running"
+
     async def _send(self, machine: Machine, session: int, commands: list[dict[str, Any]],
                     starts: list[Placement]) -> None:
         term = self.term
--- a/stileloft/coordination/leader.py
+++ b/stileloft/coordination/leader.py
@@ -601,6 +601,10 @@
                 for key, eviction in decision.evictions],
             "unmet": {job.spec.id: count for job, count in decision.unmet[:50]},
         }
+        if plan is not None and log.isEnabledFor(logging.DEBUG):
+            log.debug("unmet %s; holding %s; nominated %s", self.last_decision["unmet"], {
+                m.id: [p.task for p in m.placements.values()] for m in self.machines.values()},
+                {f"{n.key[0]}/{n.key[1]}": n.machine for n in self.nominations.values()})
         if self.dirty:
             self.ledger.flush()
 
--- a/stileloft/coordination/placement.py
+++ b/stileloft/coordination/placement.py
@@ -6,6 +6,7 @@
 from stileloft.coordination import preemption
 from stileloft.coordination.preemption import Eviction
 from stileloft.coordination.snapshot import (
+    Hold,
     Node,
     Nomination,
     Running,
@@ -25,6 +26,8 @@
 WHOLE_MACHINE = 3.0
 # Machines at the full price empty first, so that they can be returned.
 ON_DEMAND = 1.0
+# Waiting tasks that room is kept for in one round.
+MAX_HOLDS = 8
 
 
 @dataclass(slots=True)
@@ -65,8 +68,34 @@
     return Running(key, spec, spec.team, spec.rank, spec.cpus, spec.gpus or 0.0, spec.memory_gb)
 
 
+def hold_room(spec: JobSpec, zones: dict[str, int], nodes: list[Node], avoid: frozenset[str]) -> bool:
+    """Keeps room for a task on the machine that will have it first."""
+    best: tuple[float, str] | None = None
+    chosen: tuple[Node, Hold] | None = None
+    for node in nodes:
+        if (node.hold is not None or not node.ready or node.id in avoid or not allowed(spec, node)
+                or not zone_allowed(spec, zones, node.zone)):
+            continue
+        cpus, gpus, memory_gb = node.cpus, node.gpus, node.memory_gb
+        at = 0.0
+        for task in sorted(node.tasks, key=lambda task: task.remaining_s):
+            if spec.cpus <= cpus and (spec.gpus or 0.0) <= gpus and spec.memory_gb <= memory_gb:
+                break
+            cpus, gpus, memory_gb = cpus + task.cpus, gpus + task.gpus, memory_gb + task.memory_gb
+            at = task.remaining_s
+        if spec.cpus > cpus or (spec.gpus or 0.0) > gpus or spec.memory_gb > memory_gb:
+            continue
+        if best is None or (at, node.id) < best:
+            best = at, node.id
+            chosen = node, Hold(at, cpus - spec.cpus, gpus - (spec.gpus or 0.0), memory_gb - spec.memory_gb)
+    if chosen is None:
+        return False
+    chosen[0].hold = chosen[1]
+    return True
+
+
 def find(spec: JobSpec, zones: dict[str, int], nodes: list[Node], reserved: dict[str, list[Nomination]],
-         avoid: frozenset[str], smallest_cpus: float, largest_cpus: float) -> Node | None:
+         avoid: frozenset[str], estimate_s: float, smallest_cpus: float, largest_cpus: float) -> Node | None:
     """The best machine that fits now, beside the tasks nominated there."""
     best: tuple[float, str] | None = None
     chosen: Node | None = None
@@ -76,6 +105,8 @@
             continue
         if not preemption.room_beside(spec, node, reserved.get(node.id, ())):
             continue
+        if node.hold is not None and not node.hold.lets(spec, estimate_s):
+            continue
         rank = (cost(spec, node, smallest_cpus, largest_cpus), node.id)
         if best is None or rank < best:
             best, chosen = rank, node
@@ -92,6 +123,7 @@
     reserved: dict[str, list[Nomination]] = {}
     for nomination in snapshot.nominations.values():
         reserved.setdefault(nomination.machine, []).append(nomination)
+    holds = 0
     for job in sorted(snapshot.waiting, key=lambda job: order_key(job, snapshot, usage)):
         spec = job.spec
         team = snapshot.teams.get(spec.team)
@@ -113,13 +145,15 @@
                         and preemption.room_beside(spec, node, reserved[own.machine])):
                     target = node
             if target is None and not stuck:
-                target = find(spec, job.zones, nodes, reserved, job.avoid, smallest, largest)
+                target = find(spec, job.zones, nodes, reserved, job.avoid, job.estimate_s, smallest, largest)
             if target is None:
                 if own is not None:
                     reserved[own.machine].append(own)
                     nominated += 1
                     continue
                 stuck = True
+                if holds < MAX_HOLDS and hold_room(spec, job.zones, nodes, job.avoid):
+                    holds += 1
                 if not may_preempt or len(decision.evictions) >= max_evictions:
                     break
                 eviction = preemption.preempt(spec, job.zones, nodes, list(snapshot.nominations.values()),
@@ -142,6 +176,10 @@
                 used.cpus += spec.cpus
                 used.gpus += spec.gpus or 0.0
                 continue
+            if target.hold is not None and job.estimate_s > target.hold.until_s:
+                target.hold.cpus -= spec.cpus
+                target.hold.gpus -= spec.gpus or 0.0
+                target.hold.memory_gb -= spec.memory_gb
             target.take(as_running(spec, (spec.id, index)))
             job.zones[target.zone] = job.zones.get(target.zone, 0) + 1
             used.cpus += spec.cpus
--- a/stileloft/coordination/snapshot.py
+++ b/stileloft/coordination/snapshot.py
@@ -47,7 +47,7 @@
     gpus: float = 0.0
     memory_gb: float = 0.0
     idle_s: float = 0.0
-    age_s: float = 0.0
+    hold: "Hold | None" = None
 
     def settle(self) -> None:
         """Computes what is free from the machine's size and its tasks."""
@@ -72,6 +72,23 @@
                 and memory_gb <= self.memory_gb + EPSILON)
 
 
+@dataclass(slots=True)
+class Hold:
+    """Room kept for a task that waits, so that smaller ones don't starve it."""
+
+    until_s: float
+    """When enough room is expected; what ends before may use the room meanwhile."""
+    cpus: float
+    gpus: float
+    memory_gb: float
+    """What is left then beside the task."""
+
+    def lets(self, spec: JobSpec, estimate_s: float) -> bool:
+        return estimate_s <= self.until_s or (
+            spec.cpus <= self.cpus + EPSILON and (spec.gpus or 0.0) <= self.gpus + EPSILON
+            and spec.memory_gb <= self.memory_gb + EPSILON)
+
+
 @dataclass(slots=True)
 class Waiting:
     """A job with tasks that wait for a machine."""
