--- a/stileloft/coordination/leader.py
+++ b/stileloft/coordination/leader.py
@@ -2,6 +2,7 @@
 
 import logging
 import threading
+from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any
 
 from twisted.internet import defer
@@ -15,6 +16,7 @@
     Job,
     Machine,
     Placement,
+    fits_type,
     job_from_record,
     orphan_spec,
 )
@@ -56,10 +58,32 @@
 NOMINATION_REPORTS = 3.0
 CLASS_MEMORY = 0.2
 ERRORS_FAULTY = 2
+# Room kept free for classes that cannot wait for a rental, in jobs of their usual size.
+HEADROOM_WAIT = 2.0
+HEADROOM = 1.0
+# A class is taken to have ended when nothing came for this many of its usual gaps.
+QUIET_ARRIVALS = 4.0
 BACKOFF_S = 1.0
 BACKOFF_MAX_S = 60.0
 
 
+@dataclass(slots=True)
+class ClassLoad:
+    """What a class's jobs are like, and how often they come."""
+
+    spec: JobSpec
+    tasks: float
+    last: float
+    gap_s: float = 0.0
+
+    def add(self, spec: JobSpec, submitted: float) -> None:
+        gap = max(0.0, submitted - self.last)
+        self.gap_s = gap if self.gap_s == 0.0 else self.gap_s + CLASS_MEMORY * (gap - self.gap_s)
+        self.tasks += CLASS_MEMORY * (spec.tasks - self.tasks)
+        self.spec = spec
+        self.last = max(self.last, submitted)
+
+
 class Term:
     """All that one leadership knows; nothing outlives it."""
 
@@ -88,7 +112,7 @@
         self.nominations: dict[tuple[str, int], Nomination] = {}
         self.avoided: dict[tuple[str, str], float] = {}
         self.ratios: dict[str, float] = {}
-        self.typical: dict[str, tuple[JobSpec, float]] = {}
+        self.classes: dict[str, ClassLoad] = {}
         self.chunk_size = records.chunk_size(self.settings.state.value_kb)
         self.ledger = Ledger(self)
         self.dispatch = Dispatch(self)
@@ -101,7 +125,17 @@
         self._round_at = 0.0
         self._planned_at = 0.0
         self._dropped: dict[str, None] = {}
-        self.urgent_classes = {o.job_class for o in self.settings.objectives if o.kind == "wait" and o.job_class}
+        self.wait_goals = self._goals("wait")
+        self.finish_goals = self._goals("finished")
+
+    def _goals(self, kind: str) -> dict[str, float]:
+        """The tightest time of each class that has an objective of this kind."""
+        goals: dict[str, float] = {}
+        for objective in self.settings.objectives:
+            if objective.kind == kind and objective.job_class and objective.within_s is not None:
+                known = goals.get(objective.job_class, objective.within_s)
+                goals[objective.job_class] = min(known, objective.within_s)
+        return goals
 
     @property
     def types(self) -> dict[str, Any]:
@@ -157,10 +191,10 @@
         # A chunk that was read after its job's record may be newer: its version guards it.
         with self.lock:
             self.jobs.clear()
-            for _, value, version in active:
+            for _, value, version in sorted(active, key=lambda item: item[1]["t"]):
                 job = job_from_record(value, version, self.chunk_size)
                 self.jobs[job.id] = job
-                self._learn(job.spec)
+                self._learn(job)
             for key, value, version in chunks:
                 job_id, number = records.split_chunk_key(key)
                 found = self.jobs.get(job_id)
@@ -220,7 +254,7 @@
                     job = job_from_record(value, version, self.chunk_size)
                     job.recount()
                     self.jobs[job_id] = job
-                    self._learn(job.spec)
+                    self._learn(job)
                 self.poke(True)
             return
         if job is None or job.over:
@@ -232,12 +266,13 @@
         else:
             self.clock.callLater(0.05, self._on_change, job_id, None, version)
 
-    def _learn(self, spec: JobSpec) -> None:
-        """Keeps the usual size of a class's jobs, for headroom."""
-        size = spec.tasks * spec.cpus
-        before = self.typical.get(spec.job_class)
-        mean = size if before is None else before[1] + CLASS_MEMORY * (size - before[1])
-        self.typical[spec.job_class] = (spec, mean)
+    def _learn(self, job: Job) -> None:
+        """Keeps what a class's jobs are like and how often they come, for headroom."""
+        load = self.classes.get(job.spec.job_class)
+        if load is None:
+            self.classes[job.spec.job_class] = ClassLoad(job.spec, float(job.spec.tasks), job.submitted)
+        else:
+            load.add(job.spec, job.submitted)
 
     # -- the picture: called with the lock held ------------------------------------
 
@@ -504,13 +539,31 @@
         return decision, plan
 
     def _headroom(self) -> list[tuple[JobSpec, int]]:
+        """Tasks that should find room at once: of classes for which a rental would come too late."""
         found = []
-        for name in sorted(self.urgent_classes):
-            if name in self.typical:
-                spec, mean = self.typical[name]
-                found.append((spec, max(1, round(2 * mean / max(spec.cpus, 0.1)))))
+        now = self.wall()
+        for name, load in sorted(self.classes.items()):
+            spec = load.spec
+            if now - load.last > QUIET_ARRIVALS * max(load.gap_s, spec.estimate_s):
+                continue
+            waits = name in self.wait_goals
+            if waits or self._allowance(spec) < 0:
+                factor = HEADROOM_WAIT if waits else HEADROOM
+                found.append((spec, max(1, round(factor * load.tasks))))
+        found.sort(key=lambda item: -item[0].rank)
         return found
 
+    def _allowance(self, spec: JobSpec) -> float:
+        """How long a new job of this kind may wait for a machine to be rented, at the least."""
+        kinds = [kind for kind in self.types.values() if fits_type(spec, kind)]
+        if not kinds:
+            return 0.0
+        ready_s = min(kind.boot_s + spec.image_gb / max(kind.fetch_gb_per_s, 1e-3) for kind in kinds)
+        limits = [limit for limit in (spec.deadline_s, self.finish_goals.get(spec.job_class)) if limit is not None]
+        if not limits:
+            return ready_s
+        return min(limits) - self.estimate(spec) - ready_s
+
     def snapshot(self) -> Snapshot:
         now = self.clock.seconds()
         usage = {name: Usage() for name in self.teams}
--- a/stileloft/coordination/placement.py
+++ b/stileloft/coordination/placement.py
@@ -24,8 +24,10 @@
 FETCH_WEIGHT_URGENT = 1.0
 FETCH_WEIGHT = 0.3
 WHOLE_MACHINE = 3.0
+# The same while tasks wait that only large machines can take.
+WHOLE_MACHINE_SCARCE = 30.0
 # Machines at the full price empty first, so that they can be returned.
-ON_DEMAND = 1.0
+ON_DEMAND = 2.0
 # Waiting tasks that room is kept for in one round.
 MAX_HOLDS = 8
 
@@ -52,7 +54,7 @@
     return (-spec.rank, 0 if owed else 1, latest, job.submitted)
 
 
-def cost(spec: JobSpec, node: Node, smallest_cpus: float, largest_cpus: float) -> float:
+def cost(spec: JobSpec, node: Node, smallest_cpus: float, largest_cpus: float, scarce: bool) -> float:
     """How bad a machine is for a task that fits there; lower is better."""
     fetch_s = 0.0 if spec.image in node.images else spec.image_gb / max(node.type.fetch_gb_per_s, 1e-3)
     weight = FETCH_WEIGHT_URGENT if spec.rank >= 2 else FETCH_WEIGHT
@@ -60,7 +62,8 @@
     if spec.cpus <= smallest_cpus < node.type.cpus:
         # Small tasks leave large machines whole while a small one has room,
         # and first use up the large ones that are broken into already.
-        total += WHOLE_MACHINE * (1.0 if node.cpus >= largest_cpus / 2 else 0.3)
+        weight = WHOLE_MACHINE_SCARCE if scarce else WHOLE_MACHINE
+        total += weight * (1.0 if node.cpus >= largest_cpus / 2 else 0.3)
     return total
 
 
@@ -95,7 +98,8 @@
 
 
 def find(spec: JobSpec, zones: dict[str, int], nodes: list[Node], reserved: dict[str, list[Nomination]],
-         avoid: frozenset[str], estimate_s: float, smallest_cpus: float, largest_cpus: float) -> Node | None:
+         avoid: frozenset[str], estimate_s: float, smallest_cpus: float, largest_cpus: float,
+         scarce: bool = False) -> Node | None:
     """The best machine that fits now, beside the tasks nominated there."""
     best: tuple[float, str] | None = None
     chosen: Node | None = None
@@ -107,7 +111,7 @@
             continue
         if node.hold is not None and not node.hold.lets(spec, estimate_s):
             continue
-        rank = (cost(spec, node, smallest_cpus, largest_cpus), node.id)
+        rank = (cost(spec, node, smallest_cpus, largest_cpus, scarce), node.id)
         if best is None or rank < best:
             best, chosen = rank, node
     return chosen
@@ -124,6 +128,7 @@
     for nomination in snapshot.nominations.values():
         reserved.setdefault(nomination.machine, []).append(nomination)
     holds = 0
+    scarce = any(job.spec.cpus > smallest for job in snapshot.waiting)
     for job in sorted(snapshot.waiting, key=lambda job: order_key(job, snapshot, usage)):
         spec = job.spec
         team = snapshot.teams.get(spec.team)
@@ -145,7 +150,7 @@
                         and preemption.room_beside(spec, node, reserved[own.machine])):
                     target = node
             if target is None and not stuck:
-                target = find(spec, job.zones, nodes, reserved, job.avoid, job.estimate_s, smallest, largest)
+                target = find(spec, job.zones, nodes, reserved, job.avoid, job.estimate_s, smallest, largest, scarce)
             if target is None:
                 if own is not None:
                     reserved[own.machine].append(own)
--- a/stileloft/coordination/preemption.py
+++ b/stileloft/coordination/preemption.py
@@ -39,7 +39,9 @@
         if task.leaving or task.spec is None:
             continue
         lower = task.rank < spec.rank
-        borrowed = (owed and task.team != spec.team
+        # A team is given its guarantee at the cost of others' borrowed work, but not of more
+        # pressing work: that would come back at once and stop this task in turn.
+        borrowed = (owed and task.rank <= spec.rank and task.team != spec.team
                     and beyond_guarantee(teams.get(task.team), usage.get(task.team, Usage())))
         if lower or borrowed:
             found.append(task)
--- a/stileloft/coordination/scaling.py
+++ b/stileloft/coordination/scaling.py
@@ -51,7 +51,7 @@
 
 
 def choose(spec: JobSpec, snapshot: Snapshot, refused: set[Offer], rented: dict[Offer, int],
-           zones: dict[str, int]) -> Offer | None:
+           zones: dict[str, int], spot_only: bool = False) -> Offer | None:
     """The cheapest offer; among near equals the smallest type, and the zone we use least."""
     smallest = min((kind.cpus for kind in snapshot.types.values()), default=0.0)
     in_zone: dict[tuple[str, str], int] = {}
@@ -61,7 +61,7 @@
     best: tuple[tuple[float, int, str], Offer] | None = None
     for share, offer in offers_for(spec, snapshot.types, refused):
         name, zone, _ = offer
-        if not zone_allowed(spec, zones, zone):
+        if not zone_allowed(spec, zones, zone) or (spot_only and not offer[2]):
             continue
         # Large machines are kept for the tasks that need them.
         weight = 1.3 if spec.cpus <= smallest < snapshot.types[name].cpus else 1.0
@@ -82,13 +82,24 @@
     coming = [node for node in snapshot.nodes.values() if not node.up]
     made = 0
 
-    def rent(spec: JobSpec, zones: dict[str, int]) -> Node | None:
-        nonlocal made
+    def rent(spec: JobSpec, zones: dict[str, int], spot_only: bool = False) -> Node | None:
         if made >= max_new:
             return None
-        offer = choose(spec, snapshot, refused, result.rent, zones)
-        if offer is None:
-            return None
+        offer = choose(spec, snapshot, refused, result.rent, zones, spot_only)
+        return None if offer is None else add(offer)
+
+    def replace(kind: MachineType) -> None:
+        """A spot machine for one at the full price, which then runs empty and is returned."""
+        full_price = sum(1 for node in snapshot.nodes.values() if node.type is kind and not node.spot and node.tasks)
+        on_the_way = sum(1 for node in coming if node.type is kind)
+        zones = [zone for zone in kind.zones if (kind.name, zone, True) not in refused]
+        if full_price > on_the_way and zones and made < max_new and kind.spot_price < kind.price:
+            counts = {zone: sum(1 for node in snapshot.nodes.values() if node.zone == zone and node.spot)
+                      for zone in zones}
+            add((kind.name, min(zones, key=lambda zone: (counts[zone], zone)), True))
+
+    def add(offer: Offer) -> Node:
+        nonlocal made
         name, zone, spot = offer
         made += 1
         result.rent[offer] = result.rent.get(offer, 0) + 1
@@ -119,14 +130,19 @@
                 break
             left = take(spec, left, zones, [node], 0)
     usable = [node for node in snapshot.nodes.values() if node.ready]
+    # Room that is there anyway comes first, and idle machines at the full price last.
+    usable.sort(key=lambda node: (not node.spot, not node.tasks, node.id))
     for spec, count in headroom:
-        # Idle room counts, whether it is up or coming.
-        left = take(spec, count, {}, usable + [n for n in coming if n not in usable], 1)
+        urgent = spec.rank >= 2
+        rooms = [node for node in usable if node.spot or node.tasks or urgent]
+        left = take(spec, count, {}, rooms + [node for node in coming if node not in usable], 1)
         while left:
-            node = rent(spec, {})
+            node = rent(spec, {}, spot_only=True)
             if node is None:
                 break
             left = take(spec, left, {}, [node], 1)
+    for kind in snapshot.types.values():
+        replace(kind)
     for node in sorted(usable, key=lambda node: (node.spot, -price(node.type, node.spot), node.id)):
         boots = KEEP_SPOT_BOOTS if node.spot else KEEP_ON_DEMAND_BOOTS
         if node.up and not node.tasks and node.idle_s > boots * node.type.boot_s:
