--- a/stileloft/bookkeeping/model.py
+++ b/stileloft/bookkeeping/model.py
@@ -236,7 +236,9 @@
     placements: dict[TaskKey, Placement] = field(default_factory=dict)
     strays: dict[str, Stray] = field(default_factory=dict)
     forgets: dict[str, int] = field(default_factory=dict)
-    images: dict[str, float] = field(default_factory=dict)
+    images: dict[str, None] = field(default_factory=dict)
+    """Images it has, as far as seen; the one used last comes last."""
+    images_stored: bool = True
     sending: bool = False
     send_failures: int = 0
     retry_at: float = 0.0
--- a/stileloft/bookkeeping/records.py
+++ b/stileloft/bookkeeping/records.py
@@ -5,6 +5,7 @@
     tasks/<job>/<chunk>  placements and finished tasks of a run of task numbers
     final/<job>          how a job ended; kept for good
     settings             the operators' own settings
+    images/<machine>     images that a machine is likely to have
     rented               machines rented lately that the cloud's list may not show yet
 
 Nothing is stored for a task that was never placed, so a job of 100,000 tasks is
@@ -16,6 +17,7 @@
 LEADER = "leader"
 SETTINGS = "settings"
 RENTED = "rented"
+IMAGES = "images/"
 ACTIVE = "active/"
 TASKS = "tasks/"
 FINAL = "final/"
--- a/stileloft/coordination/dispatch.py
+++ b/stileloft/coordination/dispatch.py
@@ -121,7 +121,7 @@
                     if placement.running_since is None:
                         placement.running_since = now
                     if job is not None:
-                        machine.images[job.spec.image] = job.spec.image_gb
+                        term.fleet.has_image(machine, job.spec.image)
                         term.dirty.add(job.id)
                         term.ledger.later(0.25)
             return
--- a/stileloft/coordination/fleet.py
+++ b/stileloft/coordination/fleet.py
@@ -30,6 +30,9 @@
 MARGIN_LEASES = 0.1
 RENT_TRIES = 6
 GONE_KEPT = 2000
+# How often it is recorded where images are, and how many a machine is believed to have.
+IMAGES_S = 4.0
+IMAGES_KNOWN = 40
 
 
 class Fleet:
@@ -48,6 +51,8 @@
         self.recent_version = 0
         self.list_loaded_at: float | None = None
         self._serial = 0
+        self._images_waiting: dict[str, list[str]] = {}
+        self._images_dropped: set[str] = set()
 
     # -- the cloud's list -------------------------------------------------------
 
@@ -169,6 +174,8 @@
                 term.stray_tasks.pop(task, None)
             term.machines.pop(machine.id, None)
             self.recent.pop(machine.id, None)
+            if machine.images:
+                self._images_dropped.add(machine.id)
         term.poke()
 
     # -- renting ------------------------------------------------------------------
@@ -240,6 +247,50 @@
         except (Conflict, Unavailable, Unknown) as error:
             log.debug("recording rentals: %s", error)
 
+    # -- images ---------------------------------------------------------------------
+
+    def has_image(self, machine: Machine, image: str) -> None:
+        """A task that needs this image runs there."""
+        if image not in machine.images:
+            machine.images_stored = False
+        machine.images.pop(image, None)
+        machine.images[image] = None
+        while len(machine.images) > IMAGES_KNOWN:
+            del machine.images[next(iter(machine.images))]
+
+    def load_images(self, machine_id: str, images: list[str]) -> None:
+        machine = self.term.machines.get(machine_id)
+        if machine is None:
+            self._images_waiting[machine_id] = images
+        else:
+            machine.images = dict.fromkeys([*images, *machine.images])
+
+    def images_of(self, machine_id: str) -> list[str]:
+        """What a former leader recorded of a machine that is new to us."""
+        return self._images_waiting.pop(machine_id, [])
+
+    async def images_loop(self) -> None:
+        """Records where images are, for a successor; what is left of the write budget will do."""
+        term = self.term
+        while term.alive:
+            await term.sleep(IMAGES_S)
+            if not term.confirmed():
+                continue
+            changed = [m for m in term.machines.values() if not m.images_stored][: term.settings.state.txn_ops // 2]
+            dropped = sorted(self._images_dropped)[: term.settings.state.txn_ops // 2]
+            count = len(changed) + len(dropped)
+            if not count or term.writes.level() < 2 * count or not term.writes.take(count):
+                continue
+            puts = {records.IMAGES + m.id: list(m.images) for m in changed}
+            try:
+                await term.state.commit({records.LEADER: term.token}, puts, [records.IMAGES + m for m in dropped])
+            except (Conflict, Unavailable, Unknown) as error:
+                log.debug("recording images: %s", error)
+                continue
+            for machine in changed:
+                machine.images_stored = len(machine.images) == len(puts[records.IMAGES + machine.id])
+            self._images_dropped -= set(dropped)
+
     def load_recent(self, value: dict[str, Any]) -> None:
         term = self.term
         wall, now = term.wall(), term.clock.seconds()
--- a/stileloft/coordination/leader.py
+++ b/stileloft/coordination/leader.py
@@ -180,6 +180,7 @@
         log.info("took over %d jobs and %d machines in %.2f s", len(self.jobs), len(self.machines),
                  self.clock.seconds() - self.started_at)
         defer.ensureDeferred(self._watch_loop())
+        defer.ensureDeferred(self.fleet.images_loop())
         self._check()
         self.poke()
 
@@ -188,6 +189,7 @@
         active, revision = await self.state.scan(records.ACTIVE)
         chunks, _ = await self.state.scan(records.TASKS)
         rented = await self.state.get(records.RENTED)
+        images, _ = await self.state.scan(records.IMAGES)
         # A chunk that was read after its job's record may be newer: its version guards it.
         with self.lock:
             self.jobs.clear()
@@ -214,6 +216,8 @@
                         self._drop_chunks(job)
             if rented is not None:
                 self.fleet.load_recent(rented[0])
+            for key, value, _ in images:
+                self.fleet.load_images(key[len(records.IMAGES):], value)
             self.revision = revision
 
     async def _watch_loop(self) -> None:
@@ -280,6 +284,7 @@
         machine = self.machines.get(machine_id)
         if machine is None:
             machine = Machine(machine_id, first_seen=self.clock.seconds())
+            machine.images = dict.fromkeys(self.fleet.images_of(machine_id))
             self.machines[machine_id] = machine
         return machine
 
@@ -596,7 +601,7 @@
                 tasks = [i for i in tasks if f"{job.id}/{i}" not in self.stray_tasks]
             avoid = frozenset(m for (j, m), until in self.avoided.items() if j == job.id and until > now)
             waiting.append(Waiting(job.spec, job.submitted, count, tasks, dict(job.zones),
-                                   self.estimate(job.spec), avoid))
+                                   self.estimate(job.spec), self.wait_goals.get(job.spec.job_class), avoid))
         return Snapshot(self.wall(), copies, waiting, self.teams, usage, dict(self.nominations), types)
 
     def _node(self, machine: Machine, kind: Any, now: float) -> Node:
@@ -606,11 +611,14 @@
         if up:
             ready = ready and machine.trusted and not quiet and machine.send_failures < 2
         copy = Node(machine.id, kind, machine.zone, machine.spot, ready, up, 0.0, images=frozenset(machine.images))
+        fetching = set()
         for placement in machine.placements.values():
             job = self.jobs.get(placement.job)
             if job is None:
                 continue
             spec = job.spec
+            if spec.image not in machine.images and placement.state != ENDED:
+                fetching.add(spec.image)
             age = now - placement.running_since if placement.running_since is not None else 0.0
             unsaved = age % spec.checkpoint_s if spec.checkpoint_s else age
             copy.tasks.append(Running(
@@ -621,6 +629,7 @@
             copy.tasks.append(Running((task, -1), None, stray.team, 99, stray.cpus, stray.gpus, stray.memory_gb,
                                       leaving=True))
         copy.idle_s = now - machine.idle_since if machine.idle_since is not None else 0.0
+        copy.fetching = frozenset(fetching)
         copy.settle()
         return copy
 
@@ -696,7 +705,8 @@
         machine.idle_since = None
         self.nominations.pop(key, None)
         self.touch(job)
-        log.info("task %s attempt %d goes to %s", placement.task, placement.attempt, machine_id)
+        log.info("task %s attempt %d goes to %s, %.1f s after acceptance, image %s", placement.task, placement.attempt,
+                 machine_id, self.wall() - job.submitted, "there" if spec.image in machine.images else "to fetch")
 
     def _evict(self, key: tuple[str, int], eviction: Any) -> None:
         job = self.jobs.get(key[0])
--- a/stileloft/coordination/placement.py
+++ b/stileloft/coordination/placement.py
@@ -26,6 +26,9 @@
 WHOLE_MACHINE = 3.0
 # The same while tasks wait that only large machines can take.
 WHOLE_MACHINE_SCARCE = 30.0
+# A start later than the class's goal costs this; fetches may take this part of the goal.
+MISSED_GOAL = 6.0
+GOAL_PART = 0.6
 # Machines at the full price empty first, so that they can be returned.
 ON_DEMAND = 2.0
 # Waiting tasks that room is kept for in one round.
@@ -54,11 +57,25 @@
     return (-spec.rank, 0 if owed else 1, latest, job.submitted)
 
 
-def cost(spec: JobSpec, node: Node, smallest_cpus: float, largest_cpus: float, scarce: bool) -> float:
+def fetch_time(spec: JobSpec, node: Node) -> float:
+    """Seconds until the machine is likely to have the task's image."""
+    if spec.image in node.images:
+        return 0.0
+    whole_s = spec.image_gb / max(node.type.fetch_gb_per_s, 1e-3)
+    if spec.image in node.fetching:
+        return whole_s / 2  # it was begun some time ago
+    return whole_s * (1 + len(node.fetching))  # fetches share the rate
+
+
+def cost(spec: JobSpec, node: Node, smallest_cpus: float, largest_cpus: float, scarce: bool,
+         goal_s: float | None) -> float:
     """How bad a machine is for a task that fits there; lower is better."""
-    fetch_s = 0.0 if spec.image in node.images else spec.image_gb / max(node.type.fetch_gb_per_s, 1e-3)
+    fetch_s = fetch_time(spec, node)
     weight = FETCH_WEIGHT_URGENT if spec.rank >= 2 else FETCH_WEIGHT
-    total = weight * fetch_s + (0.0 if node.spot else ON_DEMAND) + (node.cpus - spec.cpus) / max(node.type.cpus, 1.0)
+    total = weight * fetch_s
+    if goal_s is not None and fetch_s > GOAL_PART * goal_s:
+        total += MISSED_GOAL
+    total += (0.0 if node.spot else ON_DEMAND) + (node.cpus - spec.cpus) / max(node.type.cpus, 1.0)
     if spec.cpus <= smallest_cpus < node.type.cpus:
         # Small tasks leave large machines whole while a small one has room,
         # and first use up the large ones that are broken into already.
@@ -99,7 +116,7 @@
 
 def find(spec: JobSpec, zones: dict[str, int], nodes: list[Node], reserved: dict[str, list[Nomination]],
          avoid: frozenset[str], estimate_s: float, smallest_cpus: float, largest_cpus: float,
-         scarce: bool = False) -> Node | None:
+         scarce: bool = False, goal_s: float | None = None) -> Node | None:
     """The best machine that fits now, beside the tasks nominated there."""
     best: tuple[float, str] | None = None
     chosen: Node | None = None
@@ -111,7 +128,7 @@
             continue
         if node.hold is not None and not node.hold.lets(spec, estimate_s):
             continue
-        rank = (cost(spec, node, smallest_cpus, largest_cpus, scarce), node.id)
+        rank = (cost(spec, node, smallest_cpus, largest_cpus, scarce, goal_s), node.id)
         if best is None or rank < best:
             best, chosen = rank, node
     return chosen
@@ -150,7 +167,8 @@
                         and preemption.room_beside(spec, node, reserved[own.machine])):
                     target = node
             if target is None and not stuck:
-                target = find(spec, job.zones, nodes, reserved, job.avoid, job.estimate_s, smallest, largest, scarce)
+                target = find(spec, job.zones, nodes, reserved, job.avoid, job.estimate_s, smallest, largest, scarce,
+                              job.goal_s)
             if target is None:
                 if own is not None:
                     reserved[own.machine].append(own)
@@ -186,6 +204,8 @@
                 target.hold.gpus -= spec.gpus or 0.0
                 target.hold.memory_gb -= spec.memory_gb
             target.take(as_running(spec, (spec.id, index)))
+            if spec.image not in target.images:
+                target.fetching |= {spec.image}
             job.zones[target.zone] = job.zones.get(target.zone, 0) + 1
             used.cpus += spec.cpus
             used.gpus += spec.gpus or 0.0
--- a/stileloft/coordination/snapshot.py
+++ b/stileloft/coordination/snapshot.py
@@ -43,6 +43,8 @@
     """Seconds until it is expected up; 0 when it is."""
     tasks: list[Running] = field(default_factory=list)
     images: frozenset[str] = frozenset()
+    fetching: frozenset[str] = frozenset()
+    """Images that tasks on it wait for."""
     cpus: float = 0.0
     gpus: float = 0.0
     memory_gb: float = 0.0
@@ -102,6 +104,8 @@
     zones: dict[str, int]
     """Tasks that are placed, by zone."""
     estimate_s: float
+    goal_s: float | None = None
+    """How soon its class is to start, by the objectives."""
     avoid: frozenset[str] = frozenset()
     """Machines on which the job failed."""
 
