--- a/stileloft/cli.py
+++ b/stileloft/cli.py
@@ -8,6 +8,7 @@
 from stileloft import __version__
 
 USAGE_ERROR = 2
+ADMIN_TIMEOUT_S = 10
 
 
 def parser() -> argparse.ArgumentParser:
@@ -19,6 +20,12 @@
     serve_command.add_argument("--config", metavar="FILE", required=True, dest="serve_config", help="settings (TOML)")
     check = commands.add_parser("check-config", help="check a settings file and exit")
     check.add_argument("file", metavar="FILE")
+    settings = commands.add_parser("settings", help="read or change the operators' settings of a running service")
+    settings.add_argument("--node", metavar="ADDRESS", required=True, help="a controller's peer address, host:port")
+    actions = settings.add_subparsers(dest="action", metavar="ACTION", required=True)
+    actions.add_parser("show", help="print the settings")
+    change = actions.add_parser("set", help="change some of them, on all nodes")
+    change.add_argument("changes", metavar="NAME=VALUE", nargs="+", help="the value as JSON, such as headroom=1.5")
     return top
 
 
@@ -63,11 +70,49 @@
     return 0
 
 
+def administer(node: str, changes: list[str] | None) -> int:
+    """Prints the settings, after the changes if there are any."""
+    import urllib.error
+    import urllib.request
+
+    import orjson
+
+    url = f"http://{node}/settings"
+    try:
+        with urllib.request.urlopen(url, timeout=ADMIN_TIMEOUT_S) as response:
+            current = orjson.loads(response.read())
+        if changes:
+            for change in changes:
+                name, equals, text = change.partition("=")
+                if not equals:
+                    print(f"stileloft: {change!r} is not NAME=VALUE", file=sys.stderr)
+                    return USAGE_ERROR
+                try:
+                    current["settings"][name] = orjson.loads(text)
+                except orjson.JSONDecodeError:
+                    print(f"stileloft: {name}: {text!r} is not a JSON value", file=sys.stderr)
+                    return USAGE_ERROR
+            request = urllib.request.Request(url, orjson.dumps(current), {"Content-Type": "application/json"},
+                                             method="PUT")
+            with urllib.request.urlopen(request, timeout=ADMIN_TIMEOUT_S) as response:
+                current = orjson.loads(response.read())
+    except urllib.error.HTTPError as error:
+        print(f"stileloft: {node}: {error.code}: {error.read().decode('utf-8', 'replace')}", file=sys.stderr)
+        return USAGE_ERROR if error.code == 400 else 1
+    except (OSError, ValueError) as error:
+        print(f"stileloft: {node}: {error}", file=sys.stderr)
+        return 1
+    print(orjson.dumps(current, option=orjson.OPT_INDENT_2).decode())
+    return 0
+
+
 def main(arguments: list[str] | None = None) -> int:
     top = parser()
     options = top.parse_args(arguments)
     if options.command == "check-config":
         return check_config(options.file)
+    if options.command == "settings":
+        return administer(options.node, getattr(options, "changes", None))
     path = options.serve_config if options.command == "serve" else options.config
     if not path:
         top.error("a command or --config FILE is needed")
--- a/stileloft/coordination/dispatch.py
+++ b/stileloft/coordination/dispatch.py
@@ -122,7 +122,7 @@
                         placement.running_since = now
                     if job is not None:
                         term.fleet.has_image(machine, job.spec.image)
-                        term.dirty.add(job.id)
+                        term.dirty[job.id] = None
                         term.ledger.later(0.25)
             return
         placement.seen = "exited"
@@ -162,8 +162,11 @@
         term = self.term
         if not term.confirmed() or not machine.trusted or machine.releasing:
             return []
+        # A start without an answer may be executed at any later time. One that is to be stopped by
+        # now is repeated too: only a task that was seen can be told to exit, and so be let go.
         return [p for p in machine.placements.values()
-                if p.state == BOUND and p.seen is None and p.stop_grace is None and not term.is_over(p.job)]
+                if p.state == BOUND and p.seen is None and not term.is_over(p.job)
+                and (p.stop_grace is None or p.sent_session == machine.session)]
 
     def _stops(self, machine: Machine) -> list[dict[str, Any]]:
         now = self.term.clock.seconds()
--- a/stileloft/coordination/fleet.py
+++ b/stileloft/coordination/fleet.py
@@ -6,7 +6,7 @@
 from twisted.internet import defer
 
 from stileloft.bookkeeping import records
-from stileloft.bookkeeping.model import Machine
+from stileloft.bookkeeping.model import BOUND, Machine, Placement
 from stileloft.coordination.election import DRIFT
 from stileloft.coordination.scaling import Offer, Plan
 from stileloft.protocol.cloud import CloudTrouble, NoCapacity
@@ -133,9 +133,20 @@
             return
         if machine.notice_until is not None:
             term.wind_down(machine, now)
-        if machine.draining and not machine.placements and not machine.strays:
+        in_doubt = [p for p in machine.placements.values() if self._in_doubt(p, machine, now)]
+        if in_doubt and machine.draining is None:
+            # The job is over, so the start cannot be repeated to learn of it; only the machine's end settles it.
+            log.info("emptying machine %s: a start of %s may still be executed", machine.id, in_doubt[0].task)
+            machine.draining = "a start is in doubt"
+        if machine.draining and len(in_doubt) == len(machine.placements) and not machine.strays:
             self.give_back(machine, machine.draining)
 
+    def _in_doubt(self, placement: Placement, machine: Machine, now: float) -> bool:
+        """Whether a start of a job that is over got no answer, and nothing was seen of it for a whole lease."""
+        waited = now - max(placement.bound_at, placement.stop_at)
+        return (placement.state == BOUND and placement.seen is None and placement.sent_session == machine.session
+                and self.term.is_over(placement.job) and waited > self.lease_s)
+
     def give_back(self, machine: Machine, reason: str) -> None:
         """Returns a machine; once the cloud confirms it, everything on it is gone."""
         if machine.releasing:
--- a/stileloft/coordination/leader.py
+++ b/stileloft/coordination/leader.py
@@ -58,9 +58,6 @@
 NOMINATION_REPORTS = 3.0
 CLASS_MEMORY = 0.2
 ERRORS_FAULTY = 2
-# Room kept free for classes that cannot wait for a rental, in jobs of their usual size.
-HEADROOM_WAIT = 2.0
-HEADROOM = 1.0
 # A class is taken to have ended when nothing came for this many of its usual gaps.
 QUIET_ARRIVALS = 4.0
 BACKOFF_S = 1.0
@@ -107,7 +104,7 @@
         self.lock = threading.Lock()
         self.jobs: dict[str, Job] = {}
         self.machines: dict[str, Machine] = {}
-        self.dirty: set[str] = set()
+        self.dirty: dict[str, None] = {}
         self.stray_tasks: dict[str, str] = {}
         self.nominations: dict[tuple[str, int], Nomination] = {}
         self.avoided: dict[tuple[str, str], float] = {}
@@ -296,14 +293,14 @@
 
     def touch(self, job: Job) -> None:
         job.dirty = True
-        self.dirty.add(job.id)
+        self.dirty[job.id] = None
 
     def dirty_jobs(self) -> list[Job]:
         found = []
         for job_id in list(self.dirty):
             job = self.jobs.get(job_id)
             if job is None:
-                self.dirty.discard(job_id)
+                self.dirty.pop(job_id, None)
             else:
                 found.append(job)
         return found
@@ -445,7 +442,7 @@
         self._dropped[job.id] = None
         if len(self._dropped) > 1000:
             del self._dropped[next(iter(self._dropped))]
-        self.dirty.discard(job.id)
+        self.dirty.pop(job.id, None)
         for key in [k for k in self.nominations if k[0] == job.id]:
             del self.nominations[key]
         for pair in [k for k in self.avoided if k[0] == job.id]:
@@ -465,7 +462,7 @@
 
     def after_commit(self, batch: list[Entry]) -> None:
         """Starts what was bound, at once, and looks for use of what was freed."""
-        machines = {p.machine for entry in batch for p in entry.bound}
+        machines = dict.fromkeys(p.machine for entry in batch for p in entry.bound)
         with self.lock:
             for machine_id in machines:
                 machine = self.machines.get(machine_id)
@@ -540,21 +537,23 @@
         decision = placing.decide(snapshot, max_placed, MAX_EVICTIONS)
         plan = None
         if scale:
-            plan = scaling.plan(snapshot, decision.unmet, refused, headroom)
+            plan = scaling.plan(snapshot, decision.unmet, refused, headroom, self.node.operator_settings)
         return decision, plan
 
     def _headroom(self) -> list[tuple[JobSpec, int]]:
         """Tasks that should find room at once: of classes for which a rental would come too late."""
         found = []
         now = self.wall()
+        settings = self.node.operator_settings
         for name, load in sorted(self.classes.items()):
             spec = load.spec
             if now - load.last > QUIET_ARRIVALS * max(load.gap_s, spec.estimate_s):
                 continue
             waits = name in self.wait_goals
             if waits or self._allowance(spec) < 0:
-                factor = HEADROOM_WAIT if waits else HEADROOM
-                found.append((spec, max(1, round(factor * load.tasks))))
+                factor = settings.headroom_wait if waits else settings.headroom
+                if factor > 0:
+                    found.append((spec, max(1, round(factor * load.tasks))))
         found.sort(key=lambda item: -item[0].rank)
         return found
 
--- a/stileloft/coordination/ledger.py
+++ b/stileloft/coordination/ledger.py
@@ -137,7 +137,7 @@
                     if entry is None:
                         job.dirty = any(chunk.dirty for chunk in job.chunks.values())
                         if not job.dirty:
-                            term.dirty.discard(job.id)
+                            term.dirty.pop(job.id, None)
                             self._counts_later(job)
                         continue
                     entry.size = len(orjson.dumps([entry.puts, entry.guards]))
@@ -168,7 +168,7 @@
 
     def _counts_later(self, job: Job) -> None:
         if not job.over and (job.done, job.running()) != job.counts_stored:
-            self.term.dirty.add(job.id)
+            self.term.dirty[job.id] = None
             self.later(COUNTS_S / 2)
 
     async def _commit(self, batch: list[Entry]) -> None:
@@ -227,7 +227,7 @@
         for number in entry.written + entry.finished + entry.dropped:
             entry.job.chunks[number].dirty = True
         entry.job.dirty = True
-        self.term.dirty.add(entry.job.id)
+        self.term.dirty[entry.job.id] = None
 
     def _committed(self, entry: Entry, revision: int) -> None:
         job, term = entry.job, self.term
--- a/stileloft/coordination/node.py
+++ b/stileloft/coordination/node.py
@@ -4,19 +4,29 @@
 import os
 import secrets
 import time
+from collections.abc import Callable
 from typing import Any
 
+import msgspec
 import orjson
 from twisted.internet import defer, threads
 
+from stileloft.bookkeeping import records
 from stileloft.coordination.admission import Admission, Impossible, NotDecidable
 from stileloft.coordination.election import Election
 from stileloft.coordination.leader import Term
 from stileloft.protocol import messages
-from stileloft.protocol.admin import AdminResources
+from stileloft.protocol.admin import (
+    AdminResources,
+    BadSettings,
+    NotNow,
+    OperatorSettings,
+    OutOfDate,
+    parse_operator_settings,
+)
 from stileloft.protocol.cloud import CloudClient, CloudTrouble
 from stileloft.protocol.messages import MachineType, Report
-from stileloft.protocol.state import Budget, StateClient
+from stileloft.protocol.state import Budget, Compacted, Conflict, StateClient, Unavailable, Unknown
 from stileloft.protocol.users import PublicResources
 from stileloft.protocol.workers import WorkerClient
 from stileloft.settings import Settings, split_address
@@ -29,6 +39,7 @@
 WORKER_TIMEOUT_S = 4.0
 STATE_TIMEOUT_S = 1.5
 CLOUD_TIMEOUT_S = 5.0
+SETTINGS_WATCH_S = 30.0
 
 # Parts of the state service's limits; together they stay below it.
 READS_SHARE = 0.6
@@ -40,16 +51,19 @@
 
 
 class Node:
-    def __init__(self, reactor: Any, settings: Settings, wall: Any = time.time) -> None:
+    """Everything of one process. `connect` makes its clients; tests put stand-ins there."""
+
+    def __init__(self, reactor: Any, settings: Settings, wall: Callable[[], float] = time.time,
+                 connect: Callable[..., Any] = Client) -> None:
         self.reactor = reactor
         self.settings = settings
         self.wall = wall
         deployment = settings.deployment
         self.teams = {team.name: team for team in deployment.teams}
         self.types: dict[str, MachineType] = {}
-        wire = Client(reactor, messages.encode, messages.decode, b"application/cbor",
+        wire = connect(reactor, messages.encode, messages.decode, b"application/cbor",
                       per_host=8, connect_s=2.0, idle_s=60.0)
-        commands = Client(reactor, messages.encode, messages.decode, b"application/cbor",
+        commands = connect(reactor, messages.encode, messages.decode, b"application/cbor",
                           per_host=1, connect_s=1.0, idle_s=60.0)
         self.state = StateClient(wire, settings.external.state, STATE_TIMEOUT_S)
         self.cloud = CloudClient(wire, settings.external.cloud, CLOUD_TIMEOUT_S,
@@ -66,16 +80,24 @@
         self.election = Election(reactor, self.state, settings.member, self.nonce, life_s,
                                  self._elected, self._deposed)
         self.term: Term | None = None
+        self.operator_settings = OperatorSettings()
 
     # -- life ---------------------------------------------------------------
 
     def start(self) -> None:
+        self.serve()
+        self.begin()
+
+    def begin(self) -> None:
+        defer.ensureDeferred(self._catalog_loop())
+        defer.ensureDeferred(self._settings_loop())
+        defer.ensureDeferred(self.election.run())
+
+    def serve(self) -> None:
         public = PublicResources(self.admission, self.report, self.healthy, NotDecidable, Impossible)
         self._listen(self.settings.listen, Router(public.match, messages.encode, messages.decode, "application/cbor"))
         admin = AdminResources(self)
         self._listen(self.settings.peer_bind, Router(admin.match, orjson.dumps, _orjson_loads, "application/json"))
-        defer.ensureDeferred(self._catalog_loop())
-        defer.ensureDeferred(self.election.run())
         log.info("%s serving on %s, process %d", self.settings.member, self.settings.listen, os.getpid())
 
     def _listen(self, address: str, router: Router) -> None:
@@ -96,6 +118,18 @@
                 log.exception("machine types")
             await self.sleep(pause)
 
+    async def _settings_loop(self) -> None:
+        """The operators' settings, as they change."""
+        while True:
+            try:
+                self.operator_settings, version = await self.read_settings()
+                await self.state.watch(records.SETTINGS, version or 1, SETTINGS_WATCH_S)
+            except (NotNow, Unavailable, Unknown, Compacted):
+                await self.sleep(SETTINGS_WATCH_S / 10)
+            except Exception:
+                log.exception("operators' settings")
+                await self.sleep(SETTINGS_WATCH_S / 10)
+
     def sleep(self, seconds: float) -> defer.Deferred:
         done: defer.Deferred = defer.Deferred()
         self.reactor.callLater(seconds, done.callback, None)
@@ -145,12 +179,40 @@
             "token": self.election.token,
             "confirmed": self.election.confirmed(),
             "machine_types": sorted(self.types),
+            "settings": msgspec.to_builtins(self.operator_settings),
             "budgets": {"leader_writes": round(self.leader_writes.level(), 1)},
         }
         if self.term is not None:
             answer["term"] = self.term.status()
         return answer
 
+    async def read_settings(self) -> tuple[OperatorSettings, int]:
+        """The operators' settings in the store, and their version (0: never set)."""
+        try:
+            found = await self.state.get(records.SETTINGS)
+        except (Unavailable, Unknown) as error:
+            raise NotNow(f"state service: {error}") from None
+        if found is None:
+            return OperatorSettings(), 0
+        try:
+            return parse_operator_settings(found[0]), found[1]
+        except BadSettings as error:
+            # Written by another version of the program: its own defaults are safer than a guess.
+            log.error("the stored settings cannot be used: %s", error)
+            return OperatorSettings(), found[1]
+
+    async def change_settings(self, settings: OperatorSettings, version: int) -> int:
+        try:
+            changed = await self.state.commit({records.SETTINGS: version},
+                                              {records.SETTINGS: msgspec.to_builtins(settings)}, [])
+        except Conflict:
+            raise OutOfDate from None
+        except (Unavailable, Unknown) as error:
+            raise NotNow(f"state service: {error}") from None
+        log.info("operators' settings changed: %s", settings)
+        self.operator_settings = settings
+        return changed
+
 
 def _orjson_loads(data: bytes) -> Any:
     return orjson.loads(data)
--- a/stileloft/coordination/scaling.py
+++ b/stileloft/coordination/scaling.py
@@ -5,14 +5,14 @@
 from stileloft.bookkeeping.model import fits_type
 from stileloft.coordination.placement import as_running
 from stileloft.coordination.snapshot import Node, Snapshot, Waiting, allowed, zone_allowed
+from stileloft.protocol.admin import OperatorSettings
 from stileloft.protocol.messages import JobSpec, MachineType
 
 Offer = tuple[str, str, bool]
 """Machine type, zone, spot."""
 
-# Idle machines are kept for this multiple of their boot time before they are returned.
-KEEP_SPOT_BOOTS = 1.0
-KEEP_ON_DEMAND_BOOTS = 0.3
+# Idle machines at the full price are kept for this multiple of their boot time.
+KEEP_FULL_PRICE_BOOTS = 0.3
 # Waiting that the present machines will end within this part of a boot does not pay a rental.
 WAIT_BOOTS = 0.4
 MAX_NEW = 8
@@ -73,19 +73,20 @@
 
 
 def plan(snapshot: Snapshot, unmet: list[tuple[Waiting, int]], refused: set[Offer],
-         headroom: list[tuple[JobSpec, int]], max_new: int = MAX_NEW) -> Plan:
+         headroom: list[tuple[JobSpec, int]], settings: OperatorSettings) -> Plan:
     """Rentals for what will not be served in time, and idle machines to return.
 
     `headroom` names tasks that should find room at once if they came now.
     """
     result = Plan()
+    max_new = min(MAX_NEW, settings.max_machines - len(snapshot.nodes))
     coming = [node for node in snapshot.nodes.values() if not node.up]
     made = 0
 
     def rent(spec: JobSpec, zones: dict[str, int], spot_only: bool = False) -> Node | None:
         if made >= max_new:
             return None
-        offer = choose(spec, snapshot, refused, result.rent, zones, spot_only)
+        offer = choose(spec, snapshot, refused, result.rent, zones, spot_only or not settings.rent_full_price)
         return None if offer is None else add(offer)
 
     def replace(kind: MachineType) -> None:
@@ -144,7 +145,7 @@
     for kind in snapshot.types.values():
         replace(kind)
     for node in sorted(usable, key=lambda node: (node.spot, -price(node.type, node.spot), node.id)):
-        boots = KEEP_SPOT_BOOTS if node.spot else KEEP_ON_DEMAND_BOOTS
+        boots = settings.keep_idle_boots if node.spot else KEEP_FULL_PRICE_BOOTS
         if node.up and not node.tasks and node.idle_s > boots * node.type.boot_s:
             result.give_back.append(node.id)
     return result
--- /dev/null
+++ b/tests/rules.py
@@ -0,0 +1,90 @@
+"""A plain checker of the protocol's rules, fed with what the stand-ins see."""
+
+from typing import TYPE_CHECKING, Any
+
+if TYPE_CHECKING:
+    from tests.standins import Machine, World
+
+LIMITS = {"core": 48.0, "edge": 40.0}
+CANCEL_S = 30.0
+
+
+class Rules:
+    def __init__(self, world: "World") -> None:
+        self.world = world
+        self.where: dict[str, Machine] = {}
+        self.broken: list[str] = []
+        self.done: set[str] = set()
+        self.last: dict[str, str] = {}
+        self.cancels: set[str] = set()
+        self.cancelled_at: dict[str, float] = {}
+        self.starts = 0
+
+    def job_of(self, task: str) -> dict[str, Any]:
+        return self.world.jobs[task.rpartition("/")[0]]
+
+    def break_(self, rule: str, what: str) -> None:
+        self.broken.append(f"{self.world.now:.2f} {rule}: {what}")
+
+    def started(self, task: str, machine: "Machine", now: float) -> None:
+        self.starts += 1
+        other = self.where.get(task)
+        if other is not None and other is not machine:
+            self.break_("ran_twice", f"{task} is on {other.name} and starts on {machine.name}")
+        job = self.job_of(task)
+        at = self.cancelled_at.get(job["nameId"])
+        if at is not None and now > at + CANCEL_S:
+            self.break_("ran_cancelled", f"{task} starts")
+        if ((job["builds"] and machine.kind["label"] not in job["builds"]) or (machine.spot and not job["loaner"])
+                or (job["yard"] and machine.zone != job["yard"])):
+            self.break_("wrong_place", f"{task} on {machine.name}")
+        zones = [m.zone for t, m in self.where.items() if t != task and t.startswith(job["nameId"] + "/")]
+        if job["together"] and any(zone != machine.zone for zone in zones):
+            self.break_("wrong_place", f"{task} is not with the others")
+        if job["spread"] and zones.count(machine.zone) + 1 > (job["pieces"] + 1) // 2:
+            self.break_("wrong_place", f"{task} is with too many others")
+        self.where[task] = machine
+        used = sum(self.job_of(t)["vcpus"] for t in self.where if self.job_of(t)["crew"] == job["crew"])
+        if used > LIMITS[job["crew"]] + 1e-6:
+            self.break_("quota", f"{job['crew']} uses {used}")
+
+    def ended(self, task: str, machine: "Machine") -> None:
+        if self.where.get(task) is machine:
+            del self.where[task]
+
+    def completed(self, task: str) -> None:
+        self.done.add(task)
+
+    def cancelling(self, job: str) -> None:
+        self.cancels.add(job)
+
+    def is_final(self, job: str) -> bool:
+        return self.last.get(job) in ("done", "aborted")
+
+    def told(self, job: str, answer: dict[str, Any] | None) -> None:
+        if answer is None:
+            if job in self.last:
+                self.break_("forgotten", job)
+            return
+        phase, before = answer["phase"], self.last.get(job)
+        if job not in self.world.jobs:
+            self.break_("invented", job)
+            return
+        if before in ("done", "aborted") and phase != before:
+            self.break_("went_back", f"{job} from {before} to {phase}")
+        if phase == "aborted":
+            if job not in self.cancels:
+                self.break_("went_back", f"{job} is called cancelled")
+            self.cancelled_at.setdefault(job, self.world.now)
+        if phase == "done":
+            missing = [i for i in range(self.world.jobs[job]["pieces"]) if f"{job}/{i}" not in self.done]
+            if missing:
+                self.break_("not_done", f"{job} lacks {missing}")
+        self.last[job] = phase
+
+    def check_cancelled(self) -> None:
+        """To be called now and then: nothing of a cancelled job may still be on a machine."""
+        for task, machine in self.where.items():
+            at = self.cancelled_at.get(task.rpartition("/")[0])
+            if at is not None and self.world.now > at + CANCEL_S:
+                self.break_("ran_cancelled", f"{task} is on {machine.name}")
--- /dev/null
+++ b/tests/standins.py
@@ -0,0 +1,658 @@
+"""Stand-ins for the state service, the cloud, the workers and the network, on a simulated clock.
+
+Written from the protocol alone. They can delay, lose, repeat, hold back and cut, all from one
+seeded source of randomness, so that every run of a test is the same.
+"""
+
+import random
+from collections.abc import Callable
+from typing import Any
+
+from twisted.internet import defer, task
+
+from stileloft.bookkeeping.records import split_task
+from stileloft.coordination.node import Node
+from stileloft.protocol import messages
+from stileloft.settings import parse
+from stileloft.transport.client import Refused, Reply, Unanswered
+from tests.rules import Rules
+
+SETTINGS = """
+member = "node-{n}"
+site = "{zone}"
+listen = "10.0.0.{n}:8080"
+peer_bind = "10.0.0.{n}:8081"
+{peers}
+[external]
+cloud = "10.9.0.2:1"
+state = "10.9.0.1:1"
+[deployment]
+size = 3
+zones = ["a", "b"]
+[[deployment.teams]]
+name = "core"
+cpus = 24.0
+cpus_max = 48.0
+[[deployment.teams]]
+name = "edge"
+cpus = 16.0
+cpus_max = 40.0
+[[deployment.objectives]]
+kind = "wait"
+class = "quick"
+within_s = 2.0
+[deployment.workers]
+report_s = 2.0
+lease_s = 12.0
+cancel_s = 30.0
+[deployment.state]
+rps = 200.0
+write_rps = 60.0
+value_kb = 4.0
+txn_ops = 12
+[deployment.cloud]
+rps = 8.0
+list_lag_s = 5.0
+[deployment.quota]
+cpu = 0.5
+ram_mb = 128.0
+max_sockets = 200
+"""
+
+TYPES = [
+    {"label": "small", "vcpus": 8, "accelerators": 0, "memGb": 32, "cacheGb": 50, "pullGbPerS": 1.0, "price": 0.5,
+     "spotPrice": 0.2, "bootS": 15, "yards": ["a", "b"]},
+    {"label": "large", "vcpus": 32, "accelerators": 0, "memGb": 128, "cacheGb": 50, "pullGbPerS": 1.0, "price": 2.0,
+     "spotPrice": 0.9, "bootS": 15, "yards": ["a", "b"]},
+]
+
+
+class StateService:
+    """The key-value store, with leases, watches and outages."""
+
+    def __init__(self, world: "World") -> None:
+        self.world = world
+        self.items: dict[str, tuple[Any, int, int | None]] = {}
+        self.revision = 0
+        self.leases: dict[int, tuple[float, float]] = {}
+        self.next_lease = 0
+        self.changes: list[tuple[str, Any, int]] = []
+        self.down_until = 0.0
+        self.refuses: dict[str, float] = {}
+        world.clock.callLater(0.05, self.expire)
+
+    def down_for(self, caller: str) -> bool:
+        now = self.world.now
+        return now < self.down_until or now < self.refuses.get(caller, 0.0)
+
+    def outage(self, seconds: float) -> None:
+        self.down_until = self.world.now + seconds
+
+        def renewed() -> None:
+            for lease, (life, _) in list(self.leases.items()):
+                self.leases[lease] = life, self.world.now + life
+
+        self.world.clock.callLater(seconds, renewed)
+
+    def expire(self) -> None:
+        self.world.clock.callLater(0.05, self.expire)
+        if self.world.now < self.down_until:
+            return
+        for lease, (_, until) in list(self.leases.items()):
+            if self.world.now >= until:
+                self.end(lease)
+
+    def end(self, lease: int) -> None:
+        self.leases.pop(lease, None)
+        for key in [k for k, item in self.items.items() if item[2] == lease]:
+            self.revision += 1
+            self.delete(key)
+
+    def delete(self, key: str) -> None:
+        if self.items.pop(key, None) is not None:
+            self.changes.append((key, None, self.revision))
+
+    def handle(self, caller: str, method: str, path: str, body: Any) -> Any:
+        if self.down_for(caller) and not path.startswith("/watch"):
+            return Reply(503, {"error": "trouble"})
+        path, _, query = path.partition("?")
+        arguments = dict(part.split("=", 1) for part in query.split("&") if part)
+        if path.startswith("/kv/"):
+            item = self.items.get(path[4:])
+            if item is None:
+                return Reply(404, {"epoch": self.revision})
+            return Reply(200, {"path": path[4:], "v": item[0], "stamp": item[1], "hold": item[2]})
+        if path == "/kv":
+            since, limit = arguments.get("since", ""), int(arguments.get("limit", 1000))
+            keys = sorted(k for k in self.items if k.startswith(arguments["under"]) and k > since)
+            pairs = [{"path": k, "v": self.items[k][0], "stamp": self.items[k][1]} for k in keys[:limit]]
+            return Reply(200, {"pairs": pairs, "more": len(keys) > limit, "epoch": self.revision})
+        if path == "/commit":
+            return self.commit(body)
+        if path == "/holds":
+            self.next_lease += 1
+            life = body["lifeMs"] / 1000
+            self.leases[self.next_lease] = life, self.world.now + life
+            return Reply(200, {"hold": self.next_lease})
+        if path.startswith("/holds/"):
+            lease = int(path.split("/")[2])
+            if lease not in self.leases:
+                return Reply(404, None)
+            if method == "DELETE":
+                self.end(lease)
+            else:
+                life = self.leases[lease][0]
+                self.leases[lease] = life, self.world.now + life
+            return Reply(200, {})
+        return self.watch(caller, arguments)
+
+    def commit(self, body: Any) -> Reply:
+        assert len(body["writes"]) <= 12 and len(body["guards"]) <= 48, "over the limits of a transaction"
+        for write in body["writes"]:
+            if write.get("hold") is not None and write["hold"] not in self.leases:
+                return Reply(400, {"error": "no such lease"})
+        failed = [g["path"] for g in body["guards"] if self.items.get(g["path"], (0, 0))[1] != g["stamp"]]
+        if failed:
+            return Reply(409, {"failed": failed, "epoch": self.revision})
+        self.revision += 1
+        for write in body["writes"]:
+            if "set" in write:
+                self.items[write["set"]] = write["v"], self.revision, write.get("hold")
+                self.changes.append((write["set"], write["v"], self.revision))
+            else:
+                self.delete(write["delete"])
+        return Reply(200, {"epoch": self.revision})
+
+    def watch(self, caller: str, arguments: dict[str, str]) -> defer.Deferred:
+        since, prefix = int(arguments["since"]), arguments["under"]
+        until = self.world.now + int(arguments["blockMs"]) / 1000
+        answered: defer.Deferred = defer.Deferred()
+
+        def look() -> None:
+            news = [c for c in self.changes if c[2] > since and c[0].startswith(prefix)]
+            if self.down_for(caller) or (not news and self.world.now < until):
+                self.world.clock.callLater(0.05, look)
+                return
+            answered.callback(Reply(200, {"epoch": self.revision, "news": [
+                {"delete": k, "stamp": r} if v is None else {"set": k, "v": v, "stamp": r} for k, v, r in news]}))
+
+        look()
+        return answered
+
+
+class Machine:
+    """A rented machine with its worker."""
+
+    def __init__(self, world: "World", name: str, kind: dict, zone: str, spot: bool) -> None:
+        self.world, self.name, self.kind, self.zone, self.spot = world, name, kind, zone, spot
+        self.address = f"{name}:9000"
+        self.rented = world.now
+        self.up = self.gone = self.hung = False
+        self.session, self.seq, self.token = 1, 0, 0
+        self.renewed = world.now
+        self.notice: float | None = None
+        self.tasks: dict[str, dict[str, Any]] = {}
+        self.forgotten_ok = True
+        self.target = world.random.choice(world.names)
+        self.reporting = False
+        self.images: set[str] = set()
+
+    def boot(self) -> None:
+        if not self.gone:
+            self.up = True
+            self.renewed = self.world.now
+            self.loop()
+            self.lease_loop()
+
+    def report(self) -> dict[str, Any]:
+        self.seq += 1
+        return {"host": self.name, "endpoint": self.address, "build": self.kind["label"], "yard": self.zone,
+                "loaner": self.spot, "stint": self.session, "tick": self.seq, "baton": self.token,
+                "warningS": None if self.notice is None else max(0.0, self.notice - self.world.now),
+                "pieces": [{"piece": t, "try": s["try"], "phase": s["phase"], "cause": s["cause"]}
+                           for t, s in self.tasks.items()]}
+
+    def lease_loop(self) -> None:
+        if self.gone:
+            return
+        self.world.clock.callLater(0.2, self.lease_loop)
+        if not self.hung:
+            self.lapse()
+
+    def lapse(self) -> None:
+        if self.world.now - self.renewed > 12.0:
+            for name in list(self.tasks):
+                self.leave(name)
+            self.tasks.clear()
+            self.session += 1
+            self.renewed = self.world.now
+
+    def loop(self) -> None:
+        if self.gone:
+            return
+        self.world.clock.callLater(2.0 * self.world.random.uniform(0.75, 1.25), self.loop)
+        self.send_report()
+
+    def send_report(self) -> None:
+        if self.gone or self.hung or not self.up or self.reporting:
+            return
+        self.reporting = True
+        sent, session = self.world.now, self.session
+        waiting = self.world.send(self.name, self.target, lambda: self.world.deliver_report(self.target, body))
+        body = messages.decode(messages.encode(self.report()))
+        timer = self.world.clock.callLater(4.0, waiting.cancel)
+
+        def answered(reply: Reply) -> None:
+            self.reporting = False
+            if timer.active():
+                timer.cancel()
+            if self.gone or self.hung or session != self.session:
+                return
+            if reply.status == 421:
+                steward = (reply.body or {}).get("steward")
+                names = self.world.names
+                other = names[(names.index(self.target) + 1) % len(names)]
+                self.target = steward if steward in names and steward != self.target else other
+                self.world.clock.callLater(0.3, self.send_report)
+            elif reply.status == 200:
+                if reply.body["baton"] >= self.token:
+                    if reply.body["baton"] > self.token:
+                        self.world.clock.callLater(0.5, self.send_report)
+                    self.token = reply.body["baton"]
+                    self.renewed = max(self.renewed, sent)
+                    self.execute(reply.body["orders"])
+            else:
+                failed(None)
+
+        def failed(_: Any) -> None:
+            self.reporting = False
+            if timer.active():
+                timer.cancel()
+            names = self.world.names
+            self.target = names[(names.index(self.target) + 1) % len(names)]
+
+        waiting.addCallbacks(answered, failed)
+
+    def command(self, body: Any) -> Reply:
+        if self.hung:
+            raise Unanswered("hangs")
+        self.lapse()
+        if body["baton"] < self.token or body["stint"] != self.session:
+            return Reply(409, self.report())
+        if body["baton"] > self.token:
+            self.world.clock.callLater(0.5, self.send_report)
+        self.token = body["baton"]
+        self.execute(body["orders"])
+        return Reply(200, self.report())
+
+    def execute(self, commands: list[dict[str, Any]]) -> None:
+        for command in commands:
+            name, attempt = command["piece"], command["try"]
+            known = self.tasks.get(name)
+            if command["verb"] == "launch":
+                self.start(name, attempt, known)
+            elif known is None or known["try"] != attempt:
+                continue
+            elif command["verb"] == "forget":
+                if known["phase"] == "exited":
+                    del self.tasks[name]
+            elif known["phase"] != "exited":
+                self.finish(name, "halted")
+
+    def start(self, name: str, attempt: int, known: dict[str, Any] | None) -> None:
+        if known is not None:
+            return  # with another attempt the worker refuses; with this one it has no effect
+        job = self.world.jobs.get(split_task(name)[0])
+        state = {"try": attempt, "phase": "fetching", "cause": None, "session": self.session}
+        self.tasks[name] = state
+        if job is None:
+            state["phase"], state["cause"] = "exited", "no_such"
+            return
+        used = sum(self.world.jobs[split_task(t)[0]]["vcpus"] for t, s in self.tasks.items() if s["phase"] != "exited")
+        if used > self.kind["vcpus"]:
+            state["phase"], state["cause"] = "exited", "full"
+            return
+        wait = 0.0 if job["bundle"] in self.images else 1.0
+        self.world.clock.callLater(wait, self.begin, name, state)
+
+    def begin(self, name: str, state: dict[str, Any]) -> None:
+        if self.tasks.get(name) is not state or state["phase"] != "fetching" or self.gone:
+            return
+        if self.hung:
+            self.world.clock.callLater(0.5, self.begin, name, state)
+            return
+        job = self.world.jobs[split_task(name)[0]]
+        self.images.add(job["bundle"])
+        state["phase"] = "running"
+        self.world.rules.started(name, self, self.world.now)
+        self.send_report()
+        self.world.clock.callLater(self.world.run_s(name), self.complete, name, state)
+
+    def complete(self, name: str, state: dict[str, Any]) -> None:
+        if self.tasks.get(name) is not state or state["phase"] != "running" or self.gone:
+            return
+        if self.hung:
+            self.world.clock.callLater(0.5, self.complete, name, state)
+            return
+        why = "error" if split_task(name)[0] in self.world.mistaken or self.name in self.world.faulty else "done"
+        self.finish(name, why)
+
+    def finish(self, name: str, why: str) -> None:
+        self.leave(name)
+        self.tasks[name].update(phase="exited", cause=why)
+        if why == "done":
+            self.world.rules.completed(name)
+        self.world.clock.callLater(0.01, self.send_report)
+
+    def leave(self, name: str) -> None:
+        if self.tasks[name]["phase"] == "running":
+            self.world.rules.ended(name, self)
+
+    def die(self) -> None:
+        self.gone = True
+        for name in list(self.tasks):
+            self.leave(name)
+
+
+class Cloud:
+    def __init__(self, world: "World", capacity: int) -> None:
+        self.world = world
+        self.capacity = capacity
+        self.machines: dict[str, Machine] = {}
+        self.requests: dict[str, list[str]] = {}
+        self.history: list[tuple[float, list[dict[str, Any]]]] = []
+        self.down_until = 0.0
+        self.loop()
+
+    def loop(self) -> None:
+        self.world.clock.callLater(1.0, self.loop)
+        self.history.append((self.world.now, [
+            {"nameId": m.name, "endpoint": m.address, "build": m.kind["label"], "yard": m.zone, "loaner": m.spot,
+             "phase": "running" if m.up else "starting", "ageS": self.world.now - m.rented}
+            for m in self.machines.values()]))
+
+    def handle(self, caller: str, method: str, path: str, body: Any) -> Reply:
+        if self.world.now < self.down_until:
+            return Reply(503, {"error": "trouble"})
+        if path == "/machine_types":
+            return Reply(200, {"builds": TYPES})
+        if path == "/hosts/release":
+            for name in body["hosts"]:
+                machine = self.machines.pop(name, None)
+                if machine is not None:
+                    machine.die()
+            return Reply(200, {})
+        if path == "/hosts":
+            return self.rent(body)
+        lag = 5.0 * self.world.random.uniform(0.5, 2.0)
+        shown = [listed for at, listed in self.history if at <= self.world.now - lag]
+        return Reply(200, {"hosts": shown[-1] if shown else [], "more": False})
+
+    def rent(self, body: Any) -> Reply:
+        if body["hire"] in self.requests:
+            return Reply(200, {"hosts": self.requests[body["hire"]]})
+        kind = next(k for k in TYPES if k["label"] == body["build"])
+        present = [m for m in self.machines.values()
+                   if (m.kind, m.zone, m.spot) == (kind, body["yard"], body["loaner"])]
+        count = min(body["count"], self.capacity - len(present))
+        if count <= 0:
+            return Reply(503, {"error": "no capacity"})
+        names = [self.add(kind, body["yard"], body["loaner"]).name for _ in range(count)]
+        self.requests[body["hire"]] = names
+        return Reply(200, {"hosts": names})
+
+    def add(self, kind: dict, zone: str, spot: bool) -> Machine:
+        name = f"n-{len(self.world.every_machine):06d}"
+        machine = Machine(self.world, name, kind, zone, spot)
+        self.machines[name] = machine
+        self.world.every_machine[name] = machine
+        draw = self.world.random.random()
+        if draw > 0.03:  # a few never come up
+            self.world.clock.callLater(15 * self.world.random.uniform(0.6, 1.5), machine.boot)
+        return machine
+
+
+class Connection:
+    """What a node has in place of the pooled client; bodies go through the real encoding."""
+
+    def __init__(self, world: "World", name: str, process: int) -> None:
+        self.world, self.name, self.process = world, name, process
+
+    async def request(self, method: str, address: str, path: str, body: Any, timeout_s: float) -> Reply:
+        world = self.world
+        target = {"10.9.0.1:1": "state", "10.9.0.2:1": "cloud"}.get(address, address.partition(":")[0])
+        if world.processes[self.name] != self.process:
+            await defer.Deferred()  # the process is over: nothing goes on in it
+        sent = messages.decode(messages.encode(body)) if body is not None else None
+
+        def work() -> Any:
+            if target == "state":
+                return world.state.handle(self.name, method, path, sent)
+            if target == "cloud":
+                return world.cloud.handle(self.name, method, path, sent)
+            machine = world.every_machine[target]
+            if machine.gone or not machine.up:
+                raise Unanswered("silence")
+            return machine.command(sent)
+
+        waiting = world.send(self.name, target, work)
+        timer = world.clock.callLater(timeout_s, waiting.cancel)
+        try:
+            reply = await waiting
+        except (Refused, Unanswered):
+            raise
+        except defer.CancelledError:
+            raise Unanswered("timeout") from None
+        finally:
+            if timer.active():
+                timer.cancel()
+        if world.processes[self.name] != self.process:
+            await defer.Deferred()
+        body_back = messages.decode(messages.encode(reply.body)) if reply.body is not None else None
+        return Reply(reply.status, body_back)
+
+
+class Process:
+    """A node with clocks and timers that stop when the process is killed."""
+
+    def __init__(self, world: "World", name: str, number: int) -> None:
+        self.world, self.name, self.number = world, name, number
+
+    def alive(self) -> bool:
+        return self.world.processes[self.name] == self.number
+
+    def seconds(self) -> float:
+        return self.world.clock.seconds()
+
+    def callLater(self, delay: float, function: Callable[..., Any], *arguments: Any) -> Any:
+        return self.world.clock.callLater(max(0.0, delay), self._call, function, *arguments)
+
+    def _call(self, function: Callable[..., Any], *arguments: Any) -> None:
+        if self.alive():
+            function(*arguments)
+
+
+class World:
+    """Everything outside the nodes, the nodes, and the rules they have to keep."""
+
+    def __init__(self, seed: int, capacity: int = 3, loss: float = 0.002) -> None:
+        self.random = random.Random(seed)
+        self.clock = task.Clock()
+        self.loss = loss
+        self.names = ["node-0", "node-1", "node-2"]
+        self.jobs: dict[str, dict[str, Any]] = {}
+        self.lengths: dict[str, float] = {}
+        self.mistaken: set[str] = set()
+        self.faulty: set[str] = set()
+        self.every_machine: dict[str, Machine] = {}
+        self.cuts: dict[frozenset[str], tuple[float, bool]] = {}
+        self.held: list[tuple[frozenset[str], Callable[[], None]]] = []
+        self.processes = {name: 0 for name in self.names}
+        self.nodes: dict[str, Node | None] = dict.fromkeys(self.names)
+        self.rules = Rules(self)
+        self.state = StateService(self)
+        self.cloud = Cloud(self, capacity)
+        for name in self.names:
+            self.start(name)
+
+    @property
+    def now(self) -> float:
+        return self.clock.seconds()
+
+    def run(self, seconds: float) -> None:
+        end = self.now + seconds
+        while self.now < end:
+            self.clock.advance(0.01)
+
+    def run_s(self, name: str) -> float:
+        return self.lengths.setdefault(name, self.random.uniform(0.5, 1.5) * self.jobs[split_task(name)[0]]["guessS"])
+
+    # -- nodes ------------------------------------------------------------------
+
+    def settings(self, name: str) -> str:
+        number = self.names.index(name)
+        peers = "".join(f'[[peers]]\nmember = "{other}"\nsite = "a"\naddress = "10.0.0.{i}:8081"\n'
+                        for i, other in enumerate(self.names) if other != name)
+        return SETTINGS.format(n=number, zone="a" if number else "b", peers=peers)
+
+    def start(self, name: str) -> None:
+        self.processes[name] += 1
+        number = self.processes[name]
+        process = Process(self, name, number)
+        node = Node(process, parse(self.settings(name)), lambda: self.now + 1000.0,
+                    lambda *_, **__: Connection(self, name, number))
+        node.in_thread = lambda function, *arguments: defer.maybeDeferred(function, *arguments)  # type: ignore
+        node.nonce = f"{name}-{number}"
+        node.election._nonce = node.nonce
+        self.nodes[name] = node
+        node.begin()
+
+    def kill(self, name: str, back_after: float | None = 5.0) -> None:
+        self.processes[name] += 1
+        self.nodes[name] = None
+        if back_after is not None:
+            self.clock.callLater(back_after, self.start, name)
+
+    def leader(self) -> str | None:
+        return next((n for n, node in self.nodes.items() if node is not None and node.election.confirmed()), None)
+
+    def deliver_report(self, name: str, body: Any) -> Reply:
+        node = self.nodes[name]
+        if node is None:
+            raise Refused("no process")
+        answer = node.report(messages.parse_report(body))
+        return Reply(answer.status, messages.decode(messages.encode(answer.body)))
+
+    # -- network ------------------------------------------------------------------
+
+    def cut(self, one: str, other: str, seconds: float, hold: bool = False) -> None:
+        """No packets between two hosts; with `hold` they arrive when the cut ends."""
+        pair = frozenset((one, other))
+        self.cuts[pair] = self.now + seconds, hold
+
+        def heal() -> None:
+            late = [deliver for where, deliver in self.held if where == pair]
+            self.held = [item for item in self.held if item[0] != pair]
+            for deliver in late:
+                deliver()
+
+        self.clock.callLater(seconds + 0.001, heal)
+
+    def send(self, source: str, target: str, work: Callable[[], Any]) -> defer.Deferred:
+        """A request and its answer; the caller may give up on it, which does not take it back."""
+        answered: defer.Deferred = defer.Deferred()
+        pair = frozenset((source, target))
+
+        def back(result: Any) -> None:
+            if self.cut_now(pair) or self.random.random() < self.loss:
+                return
+            self.clock.callLater(self.delay(), fire, result)
+
+        def fire(result: Any) -> None:
+            if answered.called:
+                return
+            if isinstance(result, Exception):
+                answered.errback(result)
+            else:
+                answered.callback(result)
+
+        def arrive() -> None:
+            try:
+                result = work()
+            except Refused as error:
+                back(error)
+                return
+            except Unanswered:
+                return
+            if isinstance(result, defer.Deferred):
+                result.addCallback(back)
+            else:
+                back(result)
+
+        cut = self.cut_now(pair)
+        if cut is not None:
+            if cut:
+                self.held.append((pair, arrive))
+            return answered
+        draw = self.random.random()
+        if draw < self.loss:
+            # Lost, or so late that the caller has given up on it.
+            if draw < self.loss / 2:
+                self.clock.callLater(self.random.uniform(2.0, 20.0), arrive)
+            return answered
+        self.clock.callLater(self.delay(), arrive)
+        return answered
+
+    def cut_now(self, pair: frozenset[str]) -> bool | None:
+        """None without a cut, else whether it holds packets back."""
+        until, hold = self.cuts.get(pair, (0.0, False))
+        return hold if self.now < until else None
+
+    def delay(self) -> float:
+        return self.random.uniform(0.001, 0.01) if self.random.random() < 0.98 else self.random.uniform(0.05, 0.4)
+
+    # -- users --------------------------------------------------------------------
+
+    def job(self, number: int, **changes: Any) -> dict[str, Any]:
+        body = {"nameId": f"j-{number:06d}", "lane": "batch", "crew": "core", "shape": "array", "urgency": "standard",
+                "pieces": 3, "vcpus": 4.0, "accelerators": 0.0, "memGb": 4.0, "bundle": "img", "imageGb": 1.0,
+                "builds": None, "yard": None, "together": False, "spread": False, "loaner": True, "guessS": 10.0,
+                "snapshotS": 0.0, "stashS": 0.0, "dueS": None}
+        return body | changes
+
+    def submit(self, body: dict[str, Any]) -> None:
+        """A user who submits until accepted, then polls until the end."""
+        self.jobs[body["nameId"]] = body
+        self._ask(lambda node: node.admission.submit(messages.parse_job(body)), self._accepted, body["nameId"])
+
+    def cancel(self, job: str) -> None:
+        self.rules.cancelling(job)
+        self._ask(lambda node: node.admission.cancel(job), self._told, job)
+
+    def _ask(self, ask: Callable[[Node], Any], told: Callable[[str, Any], None], job: str) -> None:
+        name = self.random.choice(self.names)
+        node = self.nodes[name]
+        again = self.clock.callLater(1.5, self._ask, ask, told, job)
+        if node is None:
+            return
+        number = self.processes[name]
+
+        def answer(result: Any) -> None:
+            if self.processes[name] == number and again.active():
+                again.cancel()
+                told(job, result)
+
+        asked = defer.ensureDeferred(ask(node))
+        asked.addCallbacks(answer, lambda failure: None)
+
+    def _accepted(self, job: str, result: tuple[bool, dict[str, Any]]) -> None:
+        self._told(job, result[1])
+        self._poll(job)
+
+    def _poll(self, job: str) -> None:
+        if not self.rules.is_final(job):
+            self.clock.callLater(3.0, self._poll, job)
+        self._ask(lambda node: node.admission.status(job), self._told, job)
+
+    def _told(self, job: str, answer: dict[str, Any] | None) -> None:
+        self.rules.told(job, answer)
--- /dev/null
+++ b/tests/test_rules.py
@@ -0,0 +1,191 @@
+"""Whole days on the stand-ins: whatever fails, no rule is broken and the work is done."""
+
+from collections.abc import Callable
+
+import pytest
+
+from stileloft.coordination.fleet import Fleet
+from tests.standins import World
+
+
+def load(world: World, jobs: int = 24, every: float = 3.0) -> None:
+    """A mix of classes, teams and constraints, spread over the first minute or so."""
+    for number in range(jobs):
+        kind = number % 6
+        changes: dict = {
+            0: {"pieces": 4},
+            1: {"lane": "quick", "urgency": "urgent", "vcpus": 2.0, "pieces": 5, "guessS": 4.0, "crew": "edge"},
+            2: {"pieces": 1, "vcpus": 16.0, "guessS": 20.0, "snapshotS": 5.0, "stashS": 1.0},
+            3: {"together": True, "pieces": 5, "vcpus": 2.0, "crew": "edge"},
+            4: {"spread": True, "pieces": 5, "vcpus": 3.0},
+            5: {"loaner": False, "builds": ["small"], "yard": "b", "pieces": 2},
+        }[kind]
+        world.clock.callLater(1.0 + number * every, world.submit, world.job(number, **changes))
+
+
+def finish(world: World, seconds: float = 400.0) -> None:
+    """Runs until all users know how their jobs ended."""
+    end = world.now + seconds
+    while world.now < end and not (world.jobs and all(world.rules.is_final(job) for job in world.jobs)):
+        world.run(5.0)
+        world.rules.check_cancelled()
+
+
+def crash_leader(world: World) -> None:
+    name = world.leader()
+    if name is not None:
+        world.kill(name)
+
+
+def crash_all(world: World) -> None:
+    for name in world.names:
+        world.kill(name, 4.0)
+
+
+def crash_all_in_outage(world: World) -> None:
+    world.state.outage(12.0)
+    crash_all(world)
+
+
+def roll(world: World) -> None:
+    for number, name in enumerate(world.names):
+        world.clock.callLater(number * 8.0, world.kill, name, 0.3)
+
+
+def restart_in_election(world: World) -> None:
+    """The leader dies and each node restarts within a fraction of a second, again and again."""
+    for number in range(6):
+        world.clock.callLater(number * 0.7, world.kill, world.names[number % 3], 0.2)
+
+
+def outage(world: World) -> None:
+    world.state.outage(20.0)
+
+
+def leader_refused(world: World) -> None:
+    name = world.leader()
+    if name is not None:
+        world.state.refuses[name] = world.now + 25.0
+
+
+def leader_cut_from_state(world: World) -> None:
+    world.cut(world.leader() or "node-0", "state", 15.0, hold=True)
+
+
+def leader_cut_from_workers(world: World) -> None:
+    name = world.leader() or "node-0"
+    for machine in list(world.cloud.machines):
+        world.cut(name, machine, 25.0, hold=True)
+
+
+def spot_wave(world: World) -> None:
+    for machine in [m for m in world.cloud.machines.values() if m.spot][::2]:
+        machine.notice = world.now + 6.0
+
+        def taken(machine=machine) -> None:
+            world.cloud.machines.pop(machine.name, None)
+            machine.die()
+
+        world.clock.callLater(6.0, taken)
+
+
+def machines_die(world: World) -> None:
+    for machine in [m for m in world.cloud.machines.values() if m.up][:2]:
+        machine.die()
+
+
+def hang(seconds: float) -> Callable[[World], None]:
+    def start(world: World) -> None:
+        for machine in [m for m in world.cloud.machines.values() if m.up][:2]:
+            machine.hung = True
+
+            def on(machine=machine) -> None:
+                machine.hung = False
+                machine.lapse()
+
+            world.clock.callLater(seconds, on)
+
+    return start
+
+
+def machines_cut(world: World) -> None:
+    for machine in [m for m in world.cloud.machines.values() if m.up][:2]:
+        for name in world.names:
+            world.cut(name, machine.name, 10.0, hold=True)
+
+
+def cloud_outage(world: World) -> None:
+    world.cloud.down_until = world.now + 25.0
+
+
+def faulty_machine(world: World) -> None:
+    world.faulty.update([m.name for m in world.cloud.machines.values() if m.up][:1])
+
+
+TROUBLES: dict[str, list[Callable[[World], None]]] = {
+    "quiet": [],
+    "leader crashes": [crash_leader, crash_leader],
+    "all crash in an outage": [crash_all_in_outage],
+    "roll in a wave": [roll, spot_wave],
+    "restarts in elections": [restart_in_election, restart_in_election],
+    "outage, then crash": [outage, crash_leader],
+    "leader refused by the state service": [leader_refused, machines_die],
+    "leader cut from the state service": [leader_cut_from_state, crash_leader],
+    "leader cut from the workers": [leader_cut_from_workers, spot_wave],
+    "machines hang past the lease": [hang(20.0), crash_leader],
+    "machines hang just short of the lease": [hang(10.0), crash_leader],
+    "machines cut off and cloud down": [cloud_outage, machines_cut],
+    "faulty machine, machines die": [faulty_machine, machines_die, crash_leader],
+}
+
+
+@pytest.mark.parametrize("name", TROUBLES)
+def test_day(name: str) -> None:
+    world = World(seed=len(name), loss=0.004)
+    load(world)
+    for number, trouble in enumerate(TROUBLES[name]):
+        world.clock.callLater(35.0 + 9.0 * number, trouble, world)
+    for number in (2, 8, 15):
+        world.clock.callLater(20.0 + 3 * number, world.cancel, f"j-{number:06d}")
+    finish(world)
+    assert world.rules.broken == []
+    unfinished = [job for job in world.jobs if not world.rules.is_final(job)]
+    assert unfinished == []
+    assert world.rules.starts > 40
+
+
+def test_a_mistaken_job_blocks_nobody() -> None:
+    world = World(seed=5)
+    world.mistaken.add("j-000900")
+    world.submit(world.job(900, pieces=6, urgency="urgent"))
+    load(world, jobs=10)
+    world.run(150)
+    others = [job for job in world.jobs if job != "j-000900"]
+    assert all(world.rules.last.get(job) == "done" for job in others)
+    world.cancel("j-000900")
+    finish(world, 60)
+    assert world.rules.last["j-000900"] == "aborted"
+    assert world.rules.broken == []
+
+
+def test_a_large_job_is_one_record_until_its_tasks_start() -> None:
+    world = World(seed=6)
+    world.submit(world.job(1, pieces=100_000, vcpus=1.0, guessS=600.0))
+    world.run(60)
+    kept = [key for key in world.state.items if key.startswith("tasks/")]
+    assert 0 < len(kept) <= 8
+    assert world.rules.starts >= 24
+    world.cancel("j-000001")
+    world.run(20)
+    assert world.rules.where == {} and world.rules.broken == []
+    assert [key for key in world.state.items if key.startswith(("tasks/", "active/"))] == []
+
+
+def test_the_checker_sees_a_broken_rule(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Without the wait for a silent machine's lease the checker must object."""
+    monkeypatch.setattr(Fleet, "session_over", lambda fleet, machine, now: now - machine.heard_at > 3.0)
+    world = World(seed=7)
+    load(world)
+    world.clock.callLater(35.0, hang(10.0), world)
+    finish(world, 120)
+    assert any("ran_twice" in line for line in world.rules.broken)
