--- a/stileloft/coordination/fleet.py
+++ b/stileloft/coordination/fleet.py
@@ -94,12 +94,14 @@
     def check(self) -> None:
         """Finds machines that are silent, never came up, are to be emptied, or are empty and unwanted."""
         term = self.term
+        if not term.confirmed():
+            return  # nothing may be decided now, and reports may be going to another leader
         now = term.clock.seconds()
         machines = list(term.machines.values())
         up = [m for m in machines if m.up_since is not None or m.listed_state == "running"]
         silent = [m for m in up if now - max(m.heard_at, term.started_at) > self.silent_s]
         deaf = len(up) > 1 and len(silent) * 2 > len(up)
-        if deaf and not any(now - m.heard_at < self.quiet_s for m in up) and term.confirmed():
+        if deaf and not any(now - m.heard_at < self.quiet_s for m in up):
             # Every machine is silent: it is we who cannot hear. Let another node try.
             term.depose("no machine is heard")
             return
--- a/stileloft/coordination/leader.py
+++ b/stileloft/coordination/leader.py
@@ -533,21 +533,21 @@
             snapshot = self.snapshot()
             refused = self.fleet.refused_now()
             headroom = self._headroom()
+            busy = any(not self._ended(load) for load in self.classes.values())
         max_placed = PLACED_TXNS * self.settings.state.txn_ops
         decision = placing.decide(snapshot, max_placed, MAX_EVICTIONS)
         plan = None
         if scale:
-            plan = scaling.plan(snapshot, decision.unmet, refused, headroom, self.node.operator_settings)
+            plan = scaling.plan(snapshot, decision.unmet, refused, headroom, busy, self.node.operator_settings)
         return decision, plan
 
     def _headroom(self) -> list[tuple[JobSpec, int]]:
         """Tasks that should find room at once: of classes for which a rental would come too late."""
         found = []
-        now = self.wall()
         settings = self.node.operator_settings
         for name, load in sorted(self.classes.items()):
             spec = load.spec
-            if now - load.last > QUIET_ARRIVALS * max(load.gap_s, spec.estimate_s):
+            if self._ended(load):
                 continue
             waits = name in self.wait_goals
             if waits or self._allowance(spec) < 0:
@@ -557,6 +557,10 @@
         found.sort(key=lambda item: -item[0].rank)
         return found
 
+    def _ended(self, load: ClassLoad) -> bool:
+        """Whether the class has sent nothing for so long that it is taken to have ended."""
+        return self.wall() - load.last > QUIET_ARRIVALS * max(load.gap_s, load.spec.estimate_s)
+
     def _allowance(self, spec: JobSpec) -> float:
         """How long a new job of this kind may wait for a machine to be rented, at the least."""
         kinds = [kind for kind in self.types.values() if fits_type(spec, kind)]
--- a/stileloft/coordination/scaling.py
+++ b/stileloft/coordination/scaling.py
@@ -16,6 +16,10 @@
 # Waiting that the present machines will end within this part of a boot does not pay a rental.
 WAIT_BOOTS = 0.4
 MAX_NEW = 8
+# Machines at the full price are rented for a deadline when this many boots are left to it, and
+# for one that is this many boots out of reach, since estimates are often wrong.
+EARLY_BOOTS = 0.5
+LATE_BOOTS = 1.0
 
 
 @dataclass(slots=True)
@@ -73,10 +77,11 @@
 
 
 def plan(snapshot: Snapshot, unmet: list[tuple[Waiting, int]], refused: set[Offer],
-         headroom: list[tuple[JobSpec, int]], settings: OperatorSettings) -> Plan:
+         headroom: list[tuple[JobSpec, int]], busy: bool, settings: OperatorSettings) -> Plan:
     """Rentals for what will not be served in time, and idle machines to return.
 
-    `headroom` names tasks that should find room at once if they came now.
+    `headroom` names tasks that should find room at once if they came now; `busy` tells
+    whether jobs are still coming.
     """
     result = Plan()
     max_new = min(MAX_NEW, settings.max_machines - len(snapshot.nodes))
@@ -93,6 +98,11 @@
         """A spot machine for one at the full price, which then runs empty and is returned."""
         full_price = sum(1 for node in snapshot.nodes.values() if node.type is kind and not node.spot and node.tasks)
         on_the_way = sum(1 for node in coming if node.type is kind)
+        # What runs now stays where it is: a spot machine is of use to tasks that come later.
+        roomy = any(node.type is kind and node.spot and node.ready and node.cpus >= kind.cpus / 2
+                    for node in snapshot.nodes.values())
+        if not busy or roomy:
+            return
         zones = [zone for zone in kind.zones if (kind.name, zone, True) not in refused]
         if full_price > on_the_way and zones and made < max_new and kind.spot_price < kind.price:
             counts = {zone: sum(1 for node in snapshot.nodes.values() if node.zone == zone and node.spot)
@@ -126,7 +136,7 @@
         if left and soon_served(spec, left, job.estimate_s, snapshot):
             continue
         while left:
-            node = rent(spec, zones)
+            node = rent(spec, zones, spot_only=not pays_full_price(job, snapshot))
             if node is None:
                 break
             left = take(spec, left, zones, [node], 0)
@@ -151,6 +161,17 @@
     return result
 
 
+def pays_full_price(job: Waiting, snapshot: Snapshot) -> bool:
+    """Whether a machine at the full price is needed now for the job's deadline, and still helps it."""
+    spec = job.spec
+    if spec.deadline_s is None:
+        return True
+    ready_s = min((kind.boot_s + spec.image_gb / max(kind.fetch_gb_per_s, 1e-3)
+                   for kind in snapshot.types.values() if fits_type(spec, kind)), default=0.0)
+    spare_s = job.submitted + spec.deadline_s - job.estimate_s - ready_s - snapshot.now
+    return -LATE_BOOTS * ready_s < spare_s < EARLY_BOOTS * ready_s
+
+
 def soon_served(spec: JobSpec, count: int, estimate_s: float, snapshot: Snapshot) -> bool:
     """Whether the present machines will have room well before a new one could be up."""
     soon = 0
