--- /dev/null
+++ b/tests/test_decisions.py
@@ -0,0 +1,251 @@
+"""The decisions against slow plain models, on random cases that are the same in every run."""
+
+import itertools
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from stileloft.coordination.placement import decide
+from stileloft.coordination.preemption import beyond_guarantee, candidates, loss, preempt, room_beside
+from stileloft.coordination.scaling import Offer, plan
+from stileloft.coordination.snapshot import (
+    Node,
+    Nomination,
+    Running,
+    Snapshot,
+    Usage,
+    Waiting,
+    allowed,
+    within_guarantee,
+)
+from stileloft.protocol.admin import OperatorSettings
+from stileloft.protocol.messages import JobSpec, MachineType
+from stileloft.settings import Team
+
+SMALL = MachineType("small", 8.0, 32.0, 0.5, 0.2, 30.0, ("a", "b"), 50.0, 1.0)
+LARGE = MachineType("large", 32.0, 128.0, 2.0, 0.9, 30.0, ("a", "b"), 50.0, 1.0)
+TEAMS = {"core": Team("core", 16.0, 40.0), "edge": Team("edge", 8.0, 40.0), "free": Team("free")}
+DERANDOMIZED = settings(derandomize=True, max_examples=150, deadline=None, database=None)
+
+
+def spec(number: int, cpus: float, priority: str = "standard", team: str = "core", **more: object) -> JobSpec:
+    fields: dict = {"memory_gb": 1.0, "image": "img", "image_gb": 1.0, "estimate_s": 10.0, "tasks": 4, "spot": True}
+    fields.update(more)
+    return JobSpec(id=f"j-{number}", job_class="batch", team=team, kind="array", priority=priority, cpus=cpus, **fields)
+
+
+def node(name: str, kind: MachineType, tasks: list[Running], **more: object) -> Node:
+    made = Node(name, kind, "a", True, True, True, 0.0, tasks, **more)  # type: ignore[arg-type]
+    made.settle()
+    return made
+
+
+@st.composite
+def fleets(draw: st.DrawFn) -> list[Node]:
+    nodes = []
+    serial = itertools.count(100)
+    for number in range(draw(st.integers(1, 3))):
+        kind = draw(st.sampled_from([SMALL, LARGE]))
+        tasks: list[Running] = []
+        free = kind.cpus
+        for _ in range(draw(st.integers(0, 5))):
+            cpus = float(draw(st.integers(1, 8)))
+            if cpus > free:
+                break
+            free -= cpus
+            job = spec(next(serial), cpus, draw(st.sampled_from(["idle", "standard", "urgent"])),
+                       draw(st.sampled_from(["core", "edge"])))
+            tasks.append(Running((job.id, 0), job, job.team, job.rank, cpus, 0.0, 1.0,
+                                 unsaved_s=float(draw(st.integers(0, 30))), remaining_s=5.0))
+        nodes.append(node(f"n-{number}", kind, tasks))
+    return nodes
+
+
+def used(nodes: list[Node]) -> dict[str, Usage]:
+    usage = {name: Usage() for name in TEAMS}
+    for one in nodes:
+        for task in one.tasks:
+            usage[task.team].cpus += task.cpus
+    return usage
+
+
+def plain_trial(job: JobSpec, one: Node, usage: dict[str, Usage]) -> list[tuple[str, int]] | None:
+    """The design's words, with lists and sums only: remove in order, then return in the opposite order."""
+    team, mine = TEAMS[job.team], usage[job.team]
+    owed = within_guarantee(job, team, mine)
+    may = [t for t in one.tasks
+           if t.rank < job.rank or (owed and t.rank <= job.rank and t.team != job.team
+                                    and beyond_guarantee(TEAMS[t.team], usage[t.team]))]
+    may.sort(key=lambda t: (t.rank, not t.safe, t.unsaved_s * t.cpus, t.key))
+
+    def fits(gone: list[Running]) -> bool:
+        return sum(t.cpus for t in one.tasks if t not in gone) + job.cpus <= one.type.cpus
+
+    for count in range(len(may) + 1):
+        gone = may[:count]
+        if fits(gone):
+            for task in reversed(list(gone)):
+                without = [t for t in gone if t is not task]
+                if fits(without):
+                    gone = without
+            return sorted(t.key for t in gone)
+    return None
+
+
+@DERANDOMIZED
+@given(fleets(), st.integers(1, 16), st.sampled_from(["idle", "standard", "urgent"]), st.sampled_from(["core", "edge"]))
+def test_preemption_is_the_designs_trial_on_the_best_machine(
+        nodes: list[Node], cpus: int, priority: str, team: str) -> None:
+    job = spec(1, float(cpus), priority, team)
+    usage = used(nodes)
+    before = [(n.cpus, [t.key for t in n.tasks]) for n in nodes]
+    found = preempt(job, {}, nodes, [], TEAMS, usage)
+    assert [(n.cpus, sorted(t.key for t in n.tasks)) for n in nodes] == [(c, sorted(k)) for c, k in before]
+    expected = {n.id: plain_trial(job, n, usage) for n in nodes}
+    if usage[team].cpus + cpus > TEAMS[team].cpus_max or all(keys is None for keys in expected.values()):
+        assert found is None
+        return
+    assert found is not None
+    assert sorted(v.key for v in found.victims) == expected[found.machine]
+    # No other machine's victims would have been a smaller loss.
+    by_key = {t.key: t for n in nodes for t in n.tasks}
+    losses = [loss([by_key[k] for k in keys]) for keys in expected.values() if keys is not None]
+    assert loss(found.victims) == min(losses)
+
+
+@DERANDOMIZED
+@given(fleets(), st.integers(1, 16))
+def test_every_victim_is_necessary(nodes: list[Node], cpus: int) -> None:
+    job = spec(1, float(cpus), "urgent")
+    found = preempt(job, {}, nodes, [], TEAMS, used(nodes))
+    if found is None:
+        return
+    chosen = next(n for n in nodes if n.id == found.machine)
+    for count in range(len(found.victims)):
+        for subset in itertools.combinations(found.victims, count):
+            left = sum(t.cpus for t in chosen.tasks if t not in subset)
+            assert left + job.cpus > chosen.type.cpus
+
+
+@st.composite
+def snapshots(draw: st.DrawFn) -> Snapshot:
+    nodes = draw(fleets())
+    for one in nodes:
+        one.zone = draw(st.sampled_from(["a", "b"]))
+        one.spot = draw(st.booleans())
+        one.ready = draw(st.integers(0, 4)) > 0
+    waiting = []
+    for number in range(draw(st.integers(0, 5))):
+        tasks = draw(st.integers(1, 5))
+        job = spec(number, float(draw(st.integers(1, 12))), draw(st.sampled_from(["idle", "standard", "urgent"])),
+                   draw(st.sampled_from(["core", "edge"])), tasks=tasks, spot=draw(st.booleans()),
+                   zone=draw(st.sampled_from([None, "a"])), one_zone=draw(st.booleans()), spread=draw(st.booleans()),
+                   types=draw(st.sampled_from([None, ["large"]])))
+        waiting.append(Waiting(job, float(draw(st.integers(0, 50))), tasks, list(range(tasks)), {}, 10.0))
+    return Snapshot(60.0, {n.id: n for n in nodes}, waiting, TEAMS, used(nodes), {}, {"small": SMALL, "large": LARGE})
+
+
+@DERANDOMIZED
+@given(snapshots())
+def test_decisions_respect_room_limits_and_constraints(snapshot: Snapshot) -> None:
+    jobs = {job.spec.id: job.spec for job in snapshot.waiting}
+    machines = {n.id: (n.type, n.zone, n.ready, sum(t.cpus for t in n.tasks), n) for n in snapshot.nodes.values()}
+    usage = {name: use.cpus for name, use in used(list(snapshot.nodes.values())).items()}
+    decision = decide(snapshot, 100, 8)
+    zones: dict[str, list[str]] = {}
+    taken = {name: entry[3] for name, entry in machines.items()}
+    assert len({key for key, _ in decision.placed}) == len(decision.placed)
+    for (job_id, _), name in decision.placed:
+        job, (kind, zone, ready, _, one) = jobs[job_id], machines[name]
+        assert ready and allowed(job, one)
+        taken[name] += job.cpus
+        usage[job.team] += job.cpus
+        assert taken[name] <= kind.cpus
+        zones.setdefault(job_id, []).append(zone)
+    for job_id, where in zones.items():
+        if jobs[job_id].one_zone:
+            assert len(set(where)) == 1
+        if jobs[job_id].spread:
+            assert max(where.count(z) for z in where) <= (jobs[job_id].tasks + 1) // 2
+    for name, team in TEAMS.items():
+        assert usage[name] <= max(team.cpus_max or 1e9, used(list(snapshot.nodes.values()))[name].cpus)
+    for key, eviction in decision.evictions:
+        for victim in eviction.victims:
+            assert victim.rank <= jobs[key[0]].rank and victim.key[0] != key[0]
+
+
+@DERANDOMIZED
+@given(fleets(), st.lists(st.tuples(st.integers(1, 8), st.sampled_from(["standard", "urgent"])), max_size=5))
+def test_a_task_waits_only_when_it_fits_nowhere(nodes: list[Node], wanted: list[tuple[int, str]]) -> None:
+    """Against first fit by brute force: what is left unplaced has no room left."""
+    waiting = [Waiting(spec(i, float(cpus), priority, "free", tasks=1), 0.0, 1, [0], {}, 4.0)
+               for i, (cpus, priority) in enumerate(wanted)]
+    snapshot = Snapshot(0.0, {n.id: n for n in nodes}, waiting, TEAMS, used(nodes), {},
+                        {"small": SMALL, "large": LARGE})
+    decision = decide(snapshot, 100, 0)
+    placed = {key[0] for key, _ in decision.placed}
+    for job in waiting:
+        if job.spec.id not in placed:
+            assert all(n.cpus < job.spec.cpus or n.hold is not None for n in nodes)
+
+
+def test_nominated_room_is_not_given_away() -> None:
+    busy = Running(("j-9", 0), spec(9, 8.0), "core", 1, 8.0, 0.0, 1.0, remaining_s=100.0)
+    one = node("n-0", SMALL, [busy])
+    urgent, other = spec(1, 6.0, "urgent", tasks=1), spec(2, 4.0, tasks=1)
+
+    def snapshot(nominations: dict) -> Snapshot:
+        waiting = [Waiting(urgent, 0.0, 1, [0], {}, 10.0), Waiting(other, 0.0, 1, [0], {}, 10.0)]
+        return Snapshot(0.0, {"n-0": one}, waiting, TEAMS, used([one]), nominations, {"small": SMALL})
+
+    first = decide(snapshot({}), 10, 8)
+    assert [(key, e.machine, [v.key for v in e.victims]) for key, e in first.evictions] == [
+        (("j-1", 0), "n-0", [("j-9", 0)])]
+    one.give(busy)
+    nomination = Nomination(("j-1", 0), "n-0", 2, urgent, 10.0)
+    waiting_urgent_last = snapshot({("j-1", 0): nomination})
+    waiting_urgent_last.waiting.pop(0)
+    assert decide(waiting_urgent_last, 10, 8).placed == []
+    assert decide(snapshot({("j-1", 0): nomination}), 10, 8).placed == [(("j-1", 0), "n-0")]
+
+
+def test_room_beside_counts_equal_and_higher_nominations_only() -> None:
+    one = node("n-0", SMALL, [])
+    lower = Nomination(("j-5", 0), "n-0", 0, spec(5, 8.0, "idle"), 1.0)
+    equal = Nomination(("j-6", 0), "n-0", 1, spec(6, 5.0), 1.0)
+    assert room_beside(spec(1, 8.0), one, [lower])
+    assert not room_beside(spec(1, 4.0), one, [equal])
+    assert candidates(spec(1, 4.0), one, TEAMS, used([])) == []
+
+
+def waiting(job: JobSpec, count: int) -> Waiting:
+    return Waiting(job, 0.0, count, list(range(count)), {}, 10.0)
+
+
+def scale(unmet: list[tuple[Waiting, int]], nodes: list[Node], refused: set[Offer] | None = None,
+          settings: OperatorSettings | None = None):
+    snapshot = Snapshot(0.0, {n.id: n for n in nodes}, [], TEAMS, used(nodes), {}, {"small": SMALL, "large": LARGE})
+    return plan(snapshot, unmet, refused or set(), [], True, settings or OperatorSettings())
+
+
+def test_rentals_are_cheap_and_fit_the_task() -> None:
+    large = scale([(waiting(spec(1, 16.0), 2), 2)], [])
+    assert list(large.rent) == [("large", "a", True)] and sum(large.rent.values()) == 1
+    small = scale([(waiting(spec(1, 4.0), 2), 2)], [])
+    assert list(small.rent) == [("small", "a", True)]
+    elsewhere = scale([(waiting(spec(1, 4.0), 2), 2)], [], {("small", "a", True)})
+    assert list(elsewhere.rent) == [("small", "b", True)]
+    dear = scale([(waiting(spec(1, 4.0, spot=False), 2), 2)], [])
+    assert list(dear.rent) == [("small", "a", False)]
+    assert scale([(waiting(spec(1, 4.0, spot=False), 2), 2)], [], settings=OperatorSettings(rent_full_price=False)
+                 ).rent == {}
+    assert scale([(waiting(spec(1, 4.0), 2), 2)], [], settings=OperatorSettings(max_machines=0)).rent == {}
+
+
+def test_machines_on_the_way_count_and_idle_ones_go_back() -> None:
+    coming = node("n-1", SMALL, [])
+    coming.up = False
+    assert scale([(waiting(spec(1, 4.0), 2), 2)], [coming]).rent == {}
+    idle = node("n-2", SMALL, [], idle_s=100.0)
+    assert scale([], [idle]).give_back == ["n-2"]
+    assert scale([], [idle], settings=OperatorSettings(keep_idle_boots=100.0)).give_back == []
--- /dev/null
+++ b/tests/test_service.py
@@ -0,0 +1,240 @@
+"""The command line, settings, HTTP behaviour and election, each without a network."""
+
+import logging
+
+import msgspec
+import pytest
+from twisted.internet import defer
+from twisted.internet.testing import StringTransport
+
+from stileloft import cli
+from stileloft.bookkeeping import records
+from stileloft.protocol import messages
+from stileloft.protocol.admin import BadSettings, OperatorSettings, OutOfDate, parse_operator_settings
+from stileloft.protocol.users import PublicResources
+from stileloft.settings import SettingsError, parse
+from stileloft.transport.server import Answer, Router, make_site
+from tests.standins import World
+
+# -- settings and command line ------------------------------------------------------
+
+
+@pytest.fixture(scope="module")
+def text() -> str:
+    return World(1).settings("node-0")
+
+
+def test_unknown_fields_are_ignored(text: str) -> None:
+    assert parse("colour = 1\n" + text).deployment.teams[0].name == "core"
+
+
+@pytest.mark.parametrize("old, new, field", [
+    ('member = "node-0"', "", "member"),
+    ("lease_s = 12.0", 'lease_s = "long"', "lease_s"),
+    ("lease_s = 12.0", "lease_s = 0.0", "lease_s"),
+    ("txn_ops = 12", "txn_ops = 0", "txn_ops"),
+    ('listen = "10.0.0.0:8080"', 'listen = "here"', "listen"),
+    ("cpus_max = 48.0", "cpus_max = 1.0", "core"),
+    ('name = "edge"', 'name = "core"', "twice"),
+    ("size = 3", "size = ", "TOML"),
+])
+def test_wrong_settings_name_the_field(text: str, old: str, new: str, field: str) -> None:
+    assert old in text
+    with pytest.raises(SettingsError, match=field):
+        parse(text.replace(old, new))
+
+
+def test_exit_codes(tmp_path, text: str, capsys: pytest.CaptureFixture) -> None:
+    good, bad = tmp_path / "good.toml", tmp_path / "bad.toml"
+    good.write_text(text)
+    bad.write_text(text.replace("lease_s = 12.0", "lease_s = -1.0"))
+    assert cli.main(["check-config", str(good)]) == 0
+    assert cli.main(["check-config", str(bad)]) == 2
+    assert cli.main(["--config", str(bad)]) == 2
+    assert cli.main(["serve", "--config", str(tmp_path / "none.toml")]) == 2
+    assert "lease_s" in capsys.readouterr().err
+    with pytest.raises(SystemExit) as ended:
+        cli.main([])
+    assert ended.value.code == 2
+
+
+def test_operator_settings_are_checked() -> None:
+    assert parse_operator_settings({"headroom": 0.5}) == OperatorSettings(headroom=0.5)
+    for wrong in ({"headrom": 1}, {"headroom": -1}, {"headroom": float("nan")}, {"max_machines": 1.5}, None, []):
+        with pytest.raises(BadSettings):
+            parse_operator_settings(wrong)
+
+
+def test_operator_settings_are_compared_and_set_and_reach_all_nodes() -> None:
+    world = World(2)
+    world.run(5)
+
+    def ask(coroutine) -> object:
+        result: list = []
+        defer.ensureDeferred(coroutine).addBoth(result.append)
+        world.run(1)
+        return result[0]
+
+    node = world.nodes["node-0"]
+    assert ask(node.read_settings()) == (OperatorSettings(), 0)
+    version = ask(node.change_settings(OperatorSettings(headroom=3.0), 0))
+    assert isinstance(version, int)
+    late = ask(node.change_settings(OperatorSettings(headroom=4.0), 0))
+    assert late.type is OutOfDate
+    world.run(1)
+    assert {n.operator_settings.headroom for n in world.nodes.values()} == {3.0}
+
+
+# -- HTTP ----------------------------------------------------------------------------
+
+
+class NotNow(Exception):
+    retry_after_s = 2.0
+
+
+class Never(Exception):
+    pass
+
+
+class Service:
+    """Answers by job number, so that each path of the resources can be asked for."""
+
+    async def submit(self, spec):
+        if spec.id == "j-503":
+            raise NotNow("later")
+        if spec.id == "j-422":
+            raise Never("too large")
+        return spec.id == "j-201", messages.state_answer(spec.id, "queued")
+
+    async def status(self, job):
+        if job == "j-500":
+            raise RuntimeError("a defect")
+        return None if job == "j-404" else messages.state_answer(job, "running", 1, 2)
+
+    async def cancel(self, job):
+        return messages.state_answer(job, "cancelled")
+
+
+def exchange(data: bytes) -> tuple[int, dict[str, str], bytes]:
+    public = PublicResources(Service(), lambda report: Answer(421, {"steward": "node-1"}), lambda: True, NotNow, Never)
+    site = make_site(Router(public.match, messages.encode, messages.decode, "application/cbor"), 60.0)
+    channel = site.buildProtocol(None)
+    transport = StringTransport()
+    transport.setTcpNoDelay = lambda on: None  # type: ignore[attr-defined]
+    channel.makeConnection(transport)
+    channel.dataReceived(data)
+    head, _, body = transport.value().partition(b"\r\n\r\n")
+    channel.connectionLost(None)
+    lines = head.decode().split("\r\n")
+    headers = {k.lower(): v for k, _, v in (line.partition(": ") for line in lines[1:])}
+    return int(lines[0].split()[1]), headers, body
+
+
+def call(method: str, path: str, body: object = None, raw: bytes | None = None) -> tuple[int, dict[str, str], bytes]:
+    data = raw if raw is not None else b"" if body is None else messages.encode(body)
+    return exchange(f"{method} {path} HTTP/1.1\r\nHost: x\r\nContent-Length: {len(data)}\r\n\r\n".encode() + data)
+
+
+def job(number: str) -> dict:
+    return World(1).job(1) | {"nameId": f"j-{number}"}
+
+
+def test_statuses() -> None:
+    assert call("POST", "/v2/runs", job("201"))[0] == 201
+    assert call("POST", "/v2/runs", job("200"))[0] == 200
+    assert call("POST", "/v2/runs", job("422"))[0] == 422
+    status, headers, _ = call("POST", "/v2/runs", job("503"))
+    assert (status, headers["retry-after"]) == (503, "2")
+    assert call("POST", "/v2/runs", raw=b"\xff\xff")[0] == 400
+    assert call("POST", "/v2/runs", raw=b"")[0] == 400
+    assert call("POST", "/v2/runs", [1])[0] == 400
+    assert call("GET", "/v2/runs/j-1")[0] == 200
+    assert call("GET", "/v2/runs/j-404")[0] == 404
+    assert call("GET", "/v2/runs/what")[0] == 404
+    # Cancellations come without a body.
+    assert call("POST", "/v2/runs/j-1/cancel", raw=b"")[0] == 200
+    status, headers, _ = call("DELETE", "/v2/runs/j-1")
+    assert (status, headers["allow"]) == (405, "GET")
+    assert call("GET", "/nowhere")[0] == 404
+    assert call("GET", "/healthz")[0] == 200
+    assert call("POST", "/checkin", {"host": 3})[0] == 400
+
+
+def test_a_defect_is_answered_at_once(caplog: pytest.LogCaptureFixture) -> None:
+    with caplog.at_level(logging.CRITICAL):
+        status, headers, _ = call("GET", "/v2/runs/j-500")
+    assert status == 503 and "retry-after" in headers
+
+
+def test_large_bodies_are_refused_before_they_are_read() -> None:
+    head = b"POST /v2/runs HTTP/1.1\r\nHost: x\r\nContent-Length: 70000\r\n\r\n"
+    status, headers, _ = exchange(head)
+    assert (status, headers["connection"]) == (413, "close")
+    chunks = b"POST /v2/runs HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n"
+    chunks += b"8000\r\n" + b"x" * 0x8000 + b"\r\n" + b"8001\r\n" + b"x" * 0x8001 + b"\r\n"
+    assert exchange(chunks)[0] == 413
+
+
+# -- records and election ---------------------------------------------------------------
+
+
+def test_ranges_and_keys() -> None:
+    for numbers in (set(), {0}, {0, 1, 2, 7, 9, 10}):
+        assert records.from_ranges(records.to_ranges(numbers)) == numbers
+    assert records.split_chunk_key(records.chunk_key("j-000412", 17)) == ("j-000412", 17)
+    assert records.split_task("j-000412/3") == ("j-000412", 3)
+
+
+def test_chunks_stay_within_the_value_limit() -> None:
+    """A chunk with every task placed on machines of long names."""
+    import orjson
+
+    from stileloft.bookkeeping.model import Job, Placement
+
+    for value_kb in (4.0, 16.0):
+        size = records.chunk_size(value_kb)
+        spec = messages.parse_job(job("1") | {"pieces": size, "crew": "t" * 60})
+        held = Job(spec, 0.0, size)
+        for index in range(size):
+            held.add(Placement(spec.id, index, 123456, "n-" + "9" * 18, "zone-of-a-long-name-1", True))
+        assert len(orjson.dumps(held.chunks[0].record(spec))) < value_kb * 1024
+
+
+def test_a_restarted_leader_ends_its_former_lease_at_once() -> None:
+    world = World(4, loss=0.0)
+    world.run(10)
+    name = world.leader()
+    assert name is not None
+    token = world.nodes[name].election.token
+    others = [other for other in world.names if other != name]
+    for other in others:
+        world.kill(other, None)
+    world.kill(name, 0.2)
+    world.run(1.0)  # far less than the lease of 2 s
+    assert world.leader() == name
+    assert world.nodes[name].election.token > token
+
+
+def test_a_leader_steps_down_when_a_worker_knows_a_higher_token() -> None:
+    world = World(4, loss=0.0)
+    world.run(10)
+    name = world.leader()
+    node = world.nodes[name]
+    report = msgspec.convert({"host": "n-1", "endpoint": "1:1", "build": "small", "yard": "a", "stint": 1, "tick": 1,
+                              "baton": node.election.token + 1, "pieces": []}, messages.Report)
+    assert node.report(report).status == 421
+    assert not node.election.leading
+
+
+def test_a_blind_leader_keeps_tasks_alive_for_its_grace_and_starts_nothing() -> None:
+    world = World(9, loss=0.0)
+    world.submit(world.job(1, pieces=2, guessS=60.0))
+    world.run(30)
+    assert world.rules.starts == 2
+    world.state.outage(30.0)
+    world.submit(world.job(2, pieces=2))
+    world.run(29)
+    # The outage is longer than the workers' lease, and no task was lost to it.
+    assert len([t for t in world.rules.where if t.startswith("j-000001/")]) == 2 and world.rules.starts == 2
+    world.run(90)
+    assert world.rules.last == {"j-000001": "done", "j-000002": "done"} and world.rules.broken == []
