--- a/stileloft/coordination/leader.py
+++ b/stileloft/coordination/leader.py
@@ -1,6 +1,7 @@
 """A leader's term: the picture, the round of decisions, and what follows from them."""
 
 import logging
+import math
 import threading
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any
@@ -549,11 +550,11 @@
             spec = load.spec
             if self._ended(load):
                 continue
-            waits = name in self.wait_goals
-            if waits or self._allowance(spec) < 0:
-                factor = settings.headroom_wait if waits else settings.headroom
-                if factor > 0:
-                    found.append((spec, max(1, round(factor * load.tasks))))
+            if name in self.wait_goals:
+                factor = settings.headroom_wait
+            else:
+                factor = settings.headroom if self._allowance(spec) < 0 else 0.0
+            found.append((spec, math.ceil(factor * load.tasks)))
         found.sort(key=lambda item: -item[0].rank)
         return found
 
--- a/stileloft/coordination/placement.py
+++ b/stileloft/coordination/placement.py
@@ -23,7 +23,7 @@
 # Weights of one second of image fetch against the packing terms, by need for a prompt start.
 FETCH_WEIGHT_URGENT = 1.0
 FETCH_WEIGHT = 0.3
-WHOLE_MACHINE = 3.0
+WHOLE_MACHINE = 5.0
 # The same while tasks wait that only large machines can take.
 WHOLE_MACHINE_SCARCE = 30.0
 # A start later than the class's goal costs this; fetches may take this part of the goal.
--- a/stileloft/coordination/scaling.py
+++ b/stileloft/coordination/scaling.py
@@ -80,7 +80,8 @@
          headroom: list[tuple[JobSpec, int]], busy: bool, settings: OperatorSettings) -> Plan:
     """Rentals for what will not be served in time, and idle machines to return.
 
-    `headroom` names tasks that should find room at once if they came now; `busy` tells
+    `headroom` names tasks that should find room at once if they came now (none, for a class that
+    can wait); `busy` tells
     whether jobs are still coming.
     """
     result = Plan()
@@ -143,10 +144,18 @@
     usable = [node for node in snapshot.nodes.values() if node.ready]
     # Room that is there anyway comes first, and idle machines at the full price last.
     usable.sort(key=lambda node: (not node.spot, not node.tasks, node.id))
+    smallest = min((kind.cpus for kind in snapshot.types.values()), default=0.0)
+    large_tasks = any(task.cpus > smallest for node in snapshot.nodes.values() for task in node.tasks)
     for spec, count in headroom:
         urgent = spec.rank >= 2
         rooms = [node for node in usable if node.spot or node.tasks or urgent]
-        left = take(spec, count, {}, rooms + [node for node in coming if node not in usable], 1)
+        rooms += [node for node in coming if node not in usable]
+        if large_tasks and spec.cpus <= smallest:
+            # Others can only run on large machines: this class's usual tasks get small ones instead.
+            count += sum(1 for node in snapshot.nodes.values() if node.type.cpus > smallest for task in node.tasks
+                         if task.spec is not None and task.spec.job_class == spec.job_class)
+            rooms = [node for node in rooms if node.type.cpus <= smallest]
+        left = take(spec, count, {}, rooms, 1)
         while left:
             node = rent(spec, {}, spot_only=True)
             if node is None:
