Urgent classes may use large machines, which fetch images faster

Cause: since small tasks were kept on small machines, urgent starts waited for slow fetches (0.3 against 1.0 GB/s).

--- a/stileloft/coordination/placement.py
+++ b/stileloft/coordination/placement.py
@@ -24,6 +24,7 @@
 FETCH_WEIGHT_URGENT = 1.0
 FETCH_WEIGHT = 0.3
 WHOLE_MACHINE = 5.0
+WHOLE_MACHINE_GOAL = 1.0
 # The same while tasks wait that only large machines can take.
 WHOLE_MACHINE_SCARCE = 30.0
 # A start later than the class's goal costs this; fetches may take this part of the goal.
@@ -79,7 +80,8 @@
     if spec.cpus <= smallest_cpus < node.type.cpus:
         # Small tasks leave large machines whole while a small one has room,
         # and first use up the large ones that are broken into already.
-        weight = WHOLE_MACHINE_SCARCE if scarce else WHOLE_MACHINE
+        # Those that are to start at once may go where that is likeliest.
+        weight = WHOLE_MACHINE_GOAL if goal_s is not None else WHOLE_MACHINE_SCARCE if scarce else WHOLE_MACHINE
         total += weight * (1.0 if node.cpus >= largest_cpus / 2 else 0.3)
     return total
 
