--- a/stileloft/coordination/placement.py
+++ b/stileloft/coordination/placement.py
@@ -64,7 +64,7 @@
         return 0.0
     whole_s = spec.image_gb / max(node.type.fetch_gb_per_s, 1e-3)
     if spec.image in node.fetching:
-        return whole_s / 2  # it was begun some time ago
+        return whole_s  # it was begun some time ago, but may share the rate
     return whole_s * (1 + len(node.fetching))  # fetches share the rate
 
 
