--- a/stileloft/coordination/admission.py
+++ b/stileloft/coordination/admission.py
@@ -89,7 +89,7 @@
                 raise NotDecidable("the job's record is changing") from None
             return False, known
         except (Unavailable, Unknown) as error:
-            raise NotDecidable(f"state service: {error}") from None
+            raise self._failed(error, self._writes, 1.0) from None
         log.info("job %s accepted: %d tasks of class %s for %s", spec.id, spec.tasks, spec.job_class, spec.team)
         return True, state_answer(spec.id, "queued")
 
@@ -106,7 +106,7 @@
                 return state_answer(job, "running" if running else "queued", done, running)
             return await self._ended(job)
         except (Unavailable, Unknown) as error:
-            raise NotDecidable(f"state service: {error}") from None
+            raise self._failed(error, self._reads, 1.0) from None
 
     async def _ended(self, job: str) -> dict[str, Any] | None:
         found = await self._state.get(records.final_key(job))
@@ -140,9 +140,16 @@
                 log.info("job %s cancelled", job)
                 return await self._ended(job)
         except (Unavailable, Unknown) as error:
-            raise NotDecidable(f"state service: {error}") from None
+            raise self._failed(error, self._writes, 2.0) from None
         raise NotDecidable("the job's record keeps changing")
 
+    @staticmethod
+    def _failed(error: Exception, budget: Budget, amount: float) -> NotDecidable:
+        # Otherwise the repeats during an outage would leave nothing for those after it.
+        if isinstance(error, Unavailable):
+            budget.give_back(amount)
+        return NotDecidable(f"state service: {error}")
+
     @staticmethod
     def _spend(budget: Budget, amount: float) -> None:
         if not budget.take(amount):
--- a/stileloft/coordination/node.py
+++ b/stileloft/coordination/node.py
@@ -42,8 +42,8 @@
 SETTINGS_WATCH_S = 30.0
 
 # Parts of the state service's limits; together they stay below it.
-READS_SHARE = 0.6
-LEADER_WRITES = 0.65
+READS_SHARE = 0.5
+LEADER_WRITES = 0.6
 USER_WRITES = 0.3
 
 # How long leaders answer reports unconfirmed, as a multiple of the workers' lease.
@@ -70,8 +70,10 @@
                                  Budget(reactor, deployment.cloud.rps / 2))
         self.workers = WorkerClient(commands, WORKER_TIMEOUT_S)
         nodes = max(1, deployment.size)
-        reads = Budget(reactor, deployment.state.rps * READS_SHARE / nodes)
-        writes = Budget(reactor, max(2.0, deployment.state.write_rps * USER_WRITES / nodes))
+        # One node may be down at any time, and the others then get its users.
+        sharing = max(1, nodes - 1)
+        reads = Budget(reactor, deployment.state.rps * READS_SHARE / sharing)
+        writes = Budget(reactor, max(2.0, deployment.state.write_rps * USER_WRITES / sharing))
         self.leader_writes = Budget(reactor, deployment.state.write_rps * LEADER_WRITES)
         self.admission = Admission(reactor, self.state, self.teams, self, reads, writes, wall)
         self.nonce = secrets.token_hex(8)
--- a/stileloft/protocol/state.py
+++ b/stileloft/protocol/state.py
@@ -55,6 +55,10 @@
         self._level -= amount
         return True
 
+    def give_back(self, amount: float) -> None:
+        """What was taken for a request that the service did not execute."""
+        self._level = min(max(1.0, self.per_s), self._level + amount)
+
     def level(self) -> float:
         self._fill()
         return self._level
--- a/stileloft/protocol/users.py
+++ b/stileloft/protocol/users.py
@@ -1,5 +1,6 @@
 """The resources of users, workers and health checks on the public address."""
 
+import logging
 import re
 from collections.abc import Awaitable, Callable
 from typing import Any, Protocol
@@ -7,6 +8,8 @@
 from stileloft.protocol.messages import JOB_ID, JobSpec, Malformed, Report, parse_job, parse_report
 from stileloft.transport.server import Answer, Handler, retry_later
 
+log = logging.getLogger(__name__)
+
 JOB_PATH = re.compile(r"^/v2/runs/([^/]+)$")
 CANCEL_PATH = re.compile(r"^/v2/runs/([^/]+)/cancel$")
 VALID_ID = re.compile(JOB_ID)
@@ -64,6 +67,7 @@
         try:
             return await asked
         except self._not_decidable as error:
+            log.debug("told to come back: %s", error)
             return retry_later(503, str(error), getattr(error, "retry_after_s", 1.0))
         except self._impossible as error:
             return Answer(422, {"error": str(error)})
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -238,3 +238,22 @@
     assert len([t for t in world.rules.where if t.startswith("j-000001/")]) == 2 and world.rules.starts == 2
     world.run(90)
     assert world.rules.last == {"j-000001": "done", "j-000002": "done"} and world.rules.broken == []
+
+
+def test_repeats_during_an_outage_leave_room_for_those_after_it() -> None:
+    world = World(11, loss=0.0)
+    world.run(5)
+    admission = world.nodes["node-1"].admission
+    world.state.outage(10.0)
+    failures: list = []
+    for number in range(100):
+        spec = messages.parse_job(world.job(number))
+        world.jobs[spec.id] = world.job(number)
+        defer.ensureDeferred(admission.submit(spec)).addErrback(failures.append)
+        world.run(0.05)
+    world.run(6)
+    assert len(failures) == 100
+    accepted: list = []
+    defer.ensureDeferred(admission.submit(messages.parse_job(world.job(1)))).addCallback(accepted.append)
+    world.run(0.5)
+    assert accepted and accepted[0][0]
