A node that the state service alone refuses calls itself unhealthy

Cause: such a node went on getting users and could only send them away. It asks its peers, so that nothing changes in an outage for all.

--- a/stileloft/coordination/node.py
+++ b/stileloft/coordination/node.py
@@ -26,6 +26,7 @@
 )
 from stileloft.protocol.cloud import CloudClient, CloudTrouble
 from stileloft.protocol.messages import MachineType, Report
+from stileloft.protocol.peers import PeerClient
 from stileloft.protocol.state import Budget, Compacted, Conflict, StateClient, Unavailable, Unknown
 from stileloft.protocol.users import PublicResources
 from stileloft.protocol.workers import WorkerClient
@@ -40,6 +41,8 @@
 STATE_TIMEOUT_S = 1.5
 CLOUD_TIMEOUT_S = 5.0
 SETTINGS_WATCH_S = 30.0
+PEER_TIMEOUT_S = 1.0
+SERVED_S = 2.0
 
 # Parts of the state service's limits; together they stay below it.
 READS_SHARE = 0.5
@@ -65,7 +68,12 @@
                       per_host=8, connect_s=2.0, idle_s=60.0)
         commands = connect(reactor, messages.encode, messages.decode, b"application/cbor",
                           per_host=1, connect_s=1.0, idle_s=60.0)
-        self.state = StateClient(wire, settings.external.state, STATE_TIMEOUT_S)
+        self.state = StateClient(reactor, wire, settings.external.state, STATE_TIMEOUT_S)
+        peers = connect(reactor, orjson.dumps, orjson.loads, b"application/json", per_host=1, connect_s=PEER_TIMEOUT_S,
+                        idle_s=60.0)
+        self.peers = PeerClient(peers, [peer.address for peer in settings.peers], PEER_TIMEOUT_S)
+        self.refused = False
+        """The state service serves other nodes, but not this one."""
         self.cloud = CloudClient(wire, settings.external.cloud, CLOUD_TIMEOUT_S,
                                  Budget(reactor, deployment.cloud.rps / 2))
         self.workers = WorkerClient(commands, WORKER_TIMEOUT_S)
@@ -93,6 +101,7 @@
     def begin(self) -> None:
         defer.ensureDeferred(self._catalog_loop())
         defer.ensureDeferred(self._settings_loop())
+        defer.ensureDeferred(self._served_loop())
         defer.ensureDeferred(self.election.run())
 
     def serve(self) -> None:
@@ -132,6 +141,30 @@
                 log.exception("operators' settings")
                 await self.sleep(SETTINGS_WATCH_S / 10)
 
+    def served(self) -> bool:
+        """Whether the state service has executed a request of ours lately."""
+        return self.reactor.seconds() - self.state.served_at < SERVED_S
+
+    async def _served_loop(self) -> None:
+        """Finds out whether the state service serves the others and not us.
+
+        Users are then better off elsewhere. In an outage for all they are not: a node that was
+        called unhealthy gets no users for some seconds more.
+        """
+        while True:
+            await self.sleep(SERVED_S / 2)
+            try:
+                if not self.served():
+                    await self.state.get(records.LEADER)
+                self.refused = False
+            except (Unavailable, Unknown):
+                refused = not self.served() and await self.peers.any_served()
+                if refused and not self.refused:
+                    log.info("the state service serves other nodes but not this one")
+                self.refused = refused
+            except Exception:
+                log.exception("asking the state service")
+
     def sleep(self, seconds: float) -> defer.Deferred:
         done: defer.Deferred = defer.Deferred()
         self.reactor.callLater(seconds, done.callback, None)
@@ -141,7 +174,7 @@
         return threads.deferToThread(function, *arguments)
 
     def healthy(self) -> bool:
-        return bool(self.types)
+        return bool(self.types) and not self.refused
 
     # -- leadership -----------------------------------------------------------
 
@@ -179,6 +212,7 @@
             "role": "leader" if self.election.leading else "standby",
             "leader": self.election.leader,
             "token": self.election.token,
+            "served": self.served(),
             "confirmed": self.election.confirmed(),
             "machine_types": sorted(self.types),
             "settings": msgspec.to_builtins(self.operator_settings),
--- a/stileloft/protocol/state.py
+++ b/stileloft/protocol/state.py
@@ -67,10 +67,13 @@
 class StateClient:
     """Requests to the store; each ends in a value or one of this module's errors."""
 
-    def __init__(self, client: Client, address: str, timeout_s: float) -> None:
+    def __init__(self, clock: Clock, client: Client, address: str, timeout_s: float) -> None:
+        self._clock = clock
         self._client = client
         self._address = address
         self._timeout_s = timeout_s
+        self.served_at = float("-inf")
+        """When the service last executed a request of ours."""
 
     async def _ask(self, method: str, path: str, body: Any = None, timeout_s: float | None = None) -> Any:
         try:
@@ -81,6 +84,7 @@
             raise Unknown(str(error)) from None
         if reply.status in (429, 503):
             raise Unavailable(f"status {reply.status}")
+        self.served_at = self._clock.seconds()
         return reply
 
     async def get(self, key: str) -> tuple[Any, int, int | None] | None:
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -421,6 +421,8 @@
     async def request(self, method: str, address: str, path: str, body: Any, timeout_s: float) -> Reply:
         world = self.world
         target = {"10.9.0.1:1": "state", "10.9.0.2:1": "cloud"}.get(address, address.partition(":")[0])
+        if address.endswith(":8081"):
+            target = world.names[int(address.split(":")[0].split(".")[-1])]
         if world.processes[self.name] != self.process:
             await defer.Deferred()  # the process is over: nothing goes on in it
         sent = messages.decode(messages.encode(body)) if body is not None else None
@@ -430,6 +432,11 @@
                 return world.state.handle(self.name, method, path, sent)
             if target == "cloud":
                 return world.cloud.handle(self.name, method, path, sent)
+            if target in world.names:
+                peer = world.nodes[target]
+                if peer is None:
+                    raise Refused("no process")
+                return Reply(200, peer.status())
             machine = world.every_machine[target]
             if machine.gone or not machine.up:
                 raise Unanswered("silence")
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -257,3 +257,17 @@
     defer.ensureDeferred(admission.submit(messages.parse_job(world.job(1)))).addCallback(accepted.append)
     world.run(0.5)
     assert accepted and accepted[0][0]
+
+
+def test_a_node_that_alone_is_refused_sends_users_away_but_not_in_an_outage_for_all() -> None:
+    world = World(12, loss=0.0)
+    world.run(10)
+    standby = next(name for name in world.names if name != world.leader())
+    world.state.refuses[standby] = world.now + 20.0
+    world.run(8)
+    assert {name: node.healthy() for name, node in world.nodes.items()} == {n: n != standby for n in world.names}
+    world.run(20)
+    assert all(node.healthy() for node in world.nodes.values())
+    world.state.outage(10.0)
+    world.run(9)
+    assert all(node.healthy() for node in world.nodes.values())
