--- a/stileloft/coordination/election.py
+++ b/stileloft/coordination/election.py
@@ -33,7 +33,7 @@
         self._lease: int | None = None
         self._confirmed_until = 0.0
         self.confirmed_at = 0.0
-        self._version: int | None = None
+        self._abstain_until = 0.0
 
     @property
     def leading(self) -> bool:
@@ -47,6 +47,10 @@
         """Seconds since the lease was last known to be alive."""
         return max(0.0, self._clock.seconds() - self.confirmed_at)
 
+    def abstain(self, seconds: float) -> None:
+        """Leaves the leadership to others for a while, as long as there are any."""
+        self._abstain_until = self._clock.seconds() + seconds
+
     def step_down(self, reason: str) -> None:
         if self.token is None:
             return
@@ -101,10 +105,12 @@
                 log.info("ending the lease of our former process")
                 await self._state.end_lease(lease)
                 return
-            self._version = version
             await self._state.watch(records.LEADER, version, self.life_s * 4)
             return
         self.leader = None
+        if self._clock.seconds() < self._abstain_until:
+            await self._sleep(self.life_s / 8)
+            return
         sent = self._clock.seconds()
         lease = await self._state.new_lease(self.life_s)
         try:
--- a/stileloft/coordination/fleet.py
+++ b/stileloft/coordination/fleet.py
@@ -20,6 +20,10 @@
 
 # Silence after which nothing more is placed on a machine, in report intervals.
 QUIET_REPORTS = 2.0
+# Silence that counts for the question whether we hear at all, and the answer to it.
+DEAF_REPORTS = 1.6
+WORKER_PATIENCE_S = 5.0
+VERDICT_REPORTS = 2.25
 # Silence after which a machine is given back, as a part of the lease and in report intervals.
 SILENT_LEASES = 0.5
 SILENT_REPORTS = 3.0
@@ -41,6 +45,9 @@
         workers = term.settings.workers
         self.lease_s = workers.lease_s
         self.quiet_s = QUIET_REPORTS * workers.report_s
+        self.deaf_s = DEAF_REPORTS * workers.report_s
+        # A worker gives up on an answer after 4 s, and asks the next node up to an interval later.
+        self.verdict_s = WORKER_PATIENCE_S + VERDICT_REPORTS * workers.report_s
         self.silent_s = max(SILENT_LEASES * workers.lease_s, SILENT_REPORTS * workers.report_s)
         self.lag_s = term.settings.cloud.list_lag_s
         self.gone: dict[str, float] = {}
@@ -51,6 +58,8 @@
         self.recent_version = 0
         self.list_loaded_at: float | None = None
         self._serial = 0
+        self._asking = False
+        self._not_deaf_until = 0.0
         self._images_waiting: dict[str, list[str]] = {}
         self._images_dropped: set[str] = set()
 
@@ -99,15 +108,45 @@
         now = term.clock.seconds()
         machines = list(term.machines.values())
         up = [m for m in machines if m.up_since is not None or m.listed_state == "running"]
-        silent = [m for m in up if now - max(m.heard_at, term.started_at) > self.silent_s]
-        deaf = len(up) > 1 and len(silent) * 2 > len(up)
-        if deaf and not any(now - m.heard_at < self.quiet_s for m in up):
-            # Every machine is silent: it is we who cannot hear. Let another node try.
-            term.depose("no machine is heard")
-            return
+        # Reports come at different times, so a lost link shows on all machines only after an interval.
+        # What counts is who is quiet when the first is silent; else that one would be given up.
+        quiet = [m for m in up if now - max(m.heard_at, term.started_at) > self.deaf_s]
+        deaf = len(up) > 1 and len(quiet) * 2 > len(up) and now > self._not_deaf_until
+        if deaf and not self._asking:
+            self._asking = True
+            defer.ensureDeferred(self._ask_peers(quiet))
         for machine in machines:
             self._check_one(machine, now, deaf)
 
+    async def _ask_peers(self, quiet: list[Machine]) -> None:
+        """Most machines are quiet: are they gone, or is it we who cannot hear them?
+
+        Workers that do not reach us try the other nodes, which remember whom they referred to us.
+        """
+        term = self.term
+        asked = {machine.id: machine.heard_at for machine in quiet}
+        views = await term.node.peers.views()
+        self._asking = False
+        if not term.alive:
+            return
+        # One that has reached us meanwhile was only slow.
+        still = [machine for machine in quiet if machine.heard_at == asked[machine.id]]
+        heard = {machine for view in views for machine in view.machines}
+        missed = sum(1 for machine in still if machine.id in heard)
+        now = term.clock.seconds()
+        late = all(now - max(machine.heard_at, term.started_at) > self.verdict_s for machine in still)
+        if missed * 4 >= len(still) and missed:
+            reason = f"{len(still)} machines are quiet, and peers hear {missed} of them"
+        elif not still or not late:
+            return  # they may still be on their way to a peer: ask again
+        elif views:
+            self._not_deaf_until = now + self.silent_s
+            return
+        else:
+            reason = f"{len(still)} machines are silent, and so are the peers"
+        term.depose(reason)
+        term.node.election.abstain(self.lease_s / 2)
+
     def session_over(self, machine: Machine, now: float) -> bool:
         """Whether the machine's tasks are certainly killed, by its worker's lease."""
         margin = self.lease_s * (MARGIN_LEASES + 2 * DRIFT)
--- a/stileloft/coordination/leader.py
+++ b/stileloft/coordination/leader.py
@@ -37,7 +37,7 @@
     within_limit,
     zone_allowed,
 )
-from stileloft.protocol.messages import JobSpec, Report
+from stileloft.protocol.messages import JobSpec, Report, orders
 from stileloft.protocol.state import Compacted, Unavailable, Unknown
 
 if TYPE_CHECKING:
@@ -452,6 +452,10 @@
     # -- events -------------------------------------------------------------------
 
     def on_report(self, report: Report) -> dict[str, Any]:
+        if report.machine in self.fleet.gone:
+            # Held back on its way: the cloud has told us that the machine is gone. Believing
+            # it would bring the machine back to life here, and place tasks on nothing.
+            return orders(self.token, [])
         with self.lock:
             answer = self.dispatch.on_report(report)
         self.after_report()
--- a/stileloft/coordination/node.py
+++ b/stileloft/coordination/node.py
@@ -26,7 +26,7 @@
 )
 from stileloft.protocol.cloud import CloudClient, CloudTrouble
 from stileloft.protocol.messages import MachineType, Report
-from stileloft.protocol.peers import PeerClient
+from stileloft.protocol.peers import PeerClient, PeerView
 from stileloft.protocol.state import Budget, Compacted, Conflict, StateClient, Unavailable, Unknown
 from stileloft.protocol.users import PublicResources
 from stileloft.protocol.workers import WorkerClient
@@ -43,6 +43,9 @@
 SETTINGS_WATCH_S = 30.0
 PEER_TIMEOUT_S = 1.0
 SERVED_S = 2.0
+# Machines count as seen by a node for this many report intervals.
+VIEW_REPORTS = 4.0
+REFERRED_KEPT = 1000
 
 # Parts of the state service's limits; together they stay below it.
 READS_SHARE = 0.5
@@ -91,6 +94,7 @@
                                  self._elected, self._deposed)
         self.term: Term | None = None
         self.operator_settings = OperatorSettings()
+        self._referred: dict[str, float] = {}
 
     # -- life ---------------------------------------------------------------
 
@@ -151,14 +155,19 @@
         Users are then better off elsewhere. In an outage for all they are not: a node that was
         called unhealthy gets no users for some seconds more.
         """
+        failing_since: float | None = None
         while True:
             await self.sleep(SERVED_S / 2)
             try:
                 if not self.served():
                     await self.state.get(records.LEADER)
-                self.refused = False
+                self.refused, failing_since = False, None
             except (Unavailable, Unknown):
-                refused = not self.served() and await self.peers.any_served()
+                now = self.reactor.seconds()
+                failing_since = now if failing_since is None else failing_since
+                views = await self.peers.views()
+                # Being served before our own failures began says nothing: the outage may be for all.
+                refused = any(view.served_ago_s < now - failing_since for view in views)
                 if refused and not self.refused:
                     log.info("the state service serves other nodes but not this one")
                 self.refused = refused
@@ -194,6 +203,10 @@
             self.election.step_down(f"{report.machine} knows token {report.token}")
             term = None
         if term is None:
+            self._referred.pop(report.machine, None)
+            self._referred[report.machine] = self.reactor.seconds()
+            if len(self._referred) > REFERRED_KEPT:
+                del self._referred[next(iter(self._referred))]
             leader = self.election.leader
             if leader is not None and leader != self.settings.member:
                 return Answer(421, {"steward": leader})
@@ -222,6 +235,12 @@
             answer["term"] = self.term.status()
         return answer
 
+    def view(self) -> PeerView:
+        """What this node sees, for a peer that doubts its own view."""
+        now = self.reactor.seconds()
+        recent = now - VIEW_REPORTS * self.settings.deployment.workers.report_s
+        return PeerView(min(now - self.state.served_at, 1e9), [m for m, at in self._referred.items() if at > recent])
+
     async def read_settings(self) -> tuple[OperatorSettings, int]:
         """The operators' settings in the store, and their version (0: never set)."""
         try:
--- a/stileloft/protocol/admin.py
+++ b/stileloft/protocol/admin.py
@@ -7,6 +7,7 @@
 import msgspec
 from msgspec import Meta, Struct
 
+from stileloft.protocol.peers import PeerView
 from stileloft.transport.server import Answer, Handler, retry_later
 
 Factor = Annotated[float, Meta(ge=0, le=100)]
@@ -54,6 +55,7 @@
     """What a node tells its operators, and takes from them."""
 
     def status(self) -> dict[str, Any]: ...
+    def view(self) -> PeerView: ...
     async def read_settings(self) -> tuple[OperatorSettings, int]: ...
     async def change_settings(self, settings: OperatorSettings, version: int) -> int: ...
 
@@ -65,6 +67,8 @@
     def match(self, path: str) -> tuple[dict[str, Handler], dict[str, str]] | None:
         if path == "/status":
             return {"GET": self.status}, {}
+        if path == "/view":
+            return {"GET": self.view}, {}
         if path == "/settings":
             return {"GET": self.show, "PUT": self.change}, {}
         return None
@@ -72,6 +76,9 @@
     def status(self, body: Any, arguments: dict[str, str]) -> Answer | Awaitable[Answer]:
         return Answer(200, self._node.status())
 
+    def view(self, body: Any, arguments: dict[str, str]) -> Answer | Awaitable[Answer]:
+        return Answer(200, msgspec.to_builtins(self._node.view()))
+
     async def show(self, body: Any, arguments: dict[str, str]) -> Answer:
         try:
             settings, version = await self._node.read_settings()
--- a/stileloft/protocol/peers.py
+++ b/stileloft/protocol/peers.py
@@ -2,25 +2,36 @@
 
 from typing import Any
 
+import msgspec
+from msgspec import Struct
 from twisted.internet import defer
 
 from stileloft.transport.client import Client, Refused, Unanswered
 
 
+class PeerView(Struct):
+    """What a controller sees of the world, for those that doubt their own view."""
+
+    served_ago_s: float
+    """How long ago the state service last executed a request of its."""
+    machines: list[str]
+    """Machines that it has referred to the leader lately."""
+
+
 class PeerClient:
     def __init__(self, client: Client, addresses: list[str], timeout_s: float) -> None:
         self._client = client
         self._addresses = addresses
         self._timeout_s = timeout_s
 
-    async def any_served(self) -> bool:
-        """Whether the state service has served another controller lately."""
-        asked = [defer.ensureDeferred(self._served(address)) for address in self._addresses]
-        return any([await one for one in asked])
+    async def views(self) -> list[PeerView]:
+        """What those of the others that answer see."""
+        asked = [defer.ensureDeferred(self._view(address)) for address in self._addresses]
+        return [view for view in [await one for one in asked] if view is not None]
 
-    async def _served(self, address: str) -> bool:
+    async def _view(self, address: str) -> PeerView | None:
         try:
-            reply: Any = await self._client.request("GET", address, "/status", None, self._timeout_s)
-        except (Refused, Unanswered):
-            return False
-        return reply.status == 200 and bool(reply.body.get("served"))
+            reply: Any = await self._client.request("GET", address, "/view", None, self._timeout_s)
+            return msgspec.convert(reply.body, PeerView) if reply.status == 200 else None
+        except (Refused, Unanswered, msgspec.ValidationError):
+            return None
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable
 from typing import Any
 
+import msgspec
 from twisted.internet import defer, task
 
 from stileloft.bookkeeping.records import split_task
@@ -436,7 +437,7 @@
                 peer = world.nodes[target]
                 if peer is None:
                     raise Refused("no process")
-                return Reply(200, peer.status())
+                return Reply(200, msgspec.to_builtins(peer.view()))
             machine = world.every_machine[target]
             if machine.gone or not machine.up:
                 raise Unanswered("silence")
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -78,6 +78,13 @@
         world.cut(name, machine, 25.0, hold=True)
 
 
+def leader_cut_from_most_workers(world: World) -> None:
+    """As in an incident at Bluebonnet: some machines are still heard, so the leader does not doubt itself."""
+    name = world.leader() or "node-0"
+    for machine in list(world.cloud.machines)[1:]:
+        world.cut(name, machine, 30.0, hold=True)
+
+
 def spot_wave(world: World) -> None:
     for machine in [m for m in world.cloud.machines.values() if m.spot][::2]:
         machine.notice = world.now + 6.0
@@ -132,6 +139,7 @@
     "leader refused by the state service": [leader_refused, machines_die],
     "leader cut from the state service": [leader_cut_from_state, crash_leader],
     "leader cut from the workers": [leader_cut_from_workers, spot_wave],
+    "leader cut from most workers": [leader_cut_from_most_workers],
     "machines hang past the lease": [hang(20.0), crash_leader],
     "machines hang just short of the lease": [hang(10.0), crash_leader],
     "machines cut off and cloud down": [cloud_outage, machines_cut],
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -271,3 +271,31 @@
     world.state.outage(10.0)
     world.run(9)
     assert all(node.healthy() for node in world.nodes.values())
+
+
+def test_a_leader_that_cannot_hear_gives_way_before_tasks_are_lost() -> None:
+    world = World(13, loss=0.0)
+    world.submit(world.job(1, pieces=8, guessS=60.0))
+    world.run(40)
+    before, running = world.leader(), set(world.rules.where)
+    assert before is not None and len(running) == 8
+    for machine in world.cloud.machines:
+        world.cut(before, machine, 30.0, hold=True)
+    world.run(14)
+    assert world.leader() not in (None, before)
+    assert set(world.rules.where) == running
+    world.run(120)
+    assert world.rules.broken == [] and world.rules.last["j-000001"] == "done"
+
+
+def test_a_late_report_does_not_bring_a_machine_back() -> None:
+    world = World(14, loss=0.0)
+    world.submit(world.job(1, pieces=1, guessS=30.0))
+    world.run(30)
+    term = world.nodes[world.leader()].term
+    machine = next(m for m in world.cloud.machines.values() if m.up)
+    late = messages.parse_report(machine.report())
+    world.cloud.machines.pop(machine.name).die()
+    world.run(20)
+    assert machine.name in term.fleet.gone
+    assert term.on_report(late)["orders"] == [] and machine.name not in term.machines
