Budgets per job, slow machines emptied, run times learned from each job

The candidates' order named a budget that nothing set: a job is now safe until as many of its tasks were stopped for others as it has. Run times were learned from task number one of a chunk only. Fields without use are gone.

--- a/stileloft/bookkeeping/model.py
+++ b/stileloft/bookkeeping/model.py
@@ -34,7 +34,6 @@
     stop_grace: float | None = None
     """Not None: it is to be stopped, with this much time to save."""
     stop_at: float = 0.0
-    saves: bool = False
 
     @property
     def key(self) -> TaskKey:
@@ -91,9 +90,11 @@
         self.errors: set[str] = set()
         self.error_count = 0
         self.not_before = 0.0
-        self.served_s = 0.0
+        self.stopped_for_others = 0
+        """How many of its tasks were stopped to make room: beyond one per task its budget is spent."""
+        self.durations: list[tuple[str, float]] = []
+        """Machines and run times of some of its completed tasks."""
         self.zones: dict[str, int] = {}
-        self.ages: dict[int, float] = {}
 
     @property
     def id(self) -> str:
@@ -154,11 +155,13 @@
             "t": self.submitted,
             "f": records.to_ranges(self.done_chunks),
             "c": [self.done, self.running()],
+            "e": self.stopped_for_others,
         }
 
     def load_active(self, value: dict[str, Any], version: int) -> None:
         self.version = version
         self.done_chunks = records.from_ranges(value["f"])
+        self.stopped_for_others = max(self.stopped_for_others, value.get("e", 0))
         self.counts_stored = tuple(value["c"])  # type: ignore[assignment]
 
     def load_chunk(self, number: int, value: dict[str, Any], version: int) -> None:
@@ -228,7 +231,6 @@
     up_since: float | None = None
     rented_at: float = 0.0
     notice_until: float | None = None
-    listed: bool = False
     listed_state: str = ""
     releasing: bool = False
     draining: str | None = None
@@ -247,7 +249,7 @@
     errors: set[str] = field(default_factory=set)
     error_count: int = 0
     idle_since: float | None = None
-    speed_samples: list[float] = field(default_factory=list)
+    slow_jobs: set[str] = field(default_factory=set)
 
 
 def fits_type(spec: JobSpec, kind: MachineType) -> bool:
--- a/stileloft/coordination/fleet.py
+++ b/stileloft/coordination/fleet.py
@@ -56,7 +56,6 @@
         self.recent: dict[str, list[Any]] = {}
         """Machines rented lately, as in the store's `rented` record."""
         self.recent_version = 0
-        self.list_loaded_at: float | None = None
         self._serial = 0
         self._asking = False
         self._not_deaf_until = 0.0
@@ -73,7 +72,6 @@
                 if term.alive:
                     with term.lock:
                         self.take_list(listed)
-                    self.list_loaded_at = term.clock.seconds()
                     term.poke()
             except CloudTrouble as error:
                 log.debug("machine list: %s", error)
@@ -89,7 +87,7 @@
             if item.id in self.gone:
                 continue
             machine = term.machine(item.id)
-            machine.listed, machine.listed_state = True, item.state
+            machine.listed_state = item.state
             if not machine.reported:
                 machine.type, machine.zone, machine.spot = item.type, item.zone, item.spot
                 machine.address = machine.address or item.address
--- a/stileloft/coordination/leader.py
+++ b/stileloft/coordination/leader.py
@@ -59,6 +59,9 @@
 NOMINATION_REPORTS = 3.0
 CLASS_MEMORY = 0.2
 ERRORS_FAULTY = 2
+# A task that takes this multiple of its fellows' time elsewhere speaks against its machine.
+SLOW = 3.0
+DURATIONS_KEPT = 20
 # A class is taken to have ended when nothing came for this many of its usual gaps.
 QUIET_ARRIVALS = 4.0
 BACKOFF_S = 1.0
@@ -340,12 +343,26 @@
         if job is not None and placement.running_since is not None and job.spec.estimate_s > 0:
             job.errors.clear()
             took = now - placement.running_since
-            if placement.attempt == 1:
-                ratio = min(4.0, max(0.1, took / job.spec.estimate_s))
-                known = self.ratios.get(job.spec.job_class, 1.0)
-                self.ratios[job.spec.job_class] = known + CLASS_MEMORY * (ratio - known)
+            # Attempts are counted per chunk: beyond its length, a task may have run before and saved.
+            if placement.attempt <= job.chunk_length(placement.index // self.chunk_size):
+                if not job.durations:  # one sample a job, however many tasks it has
+                    ratio = min(4.0, max(0.1, took / job.spec.estimate_s))
+                    known = self.ratios.get(job.spec.job_class, 1.0)
+                    self.ratios[job.spec.job_class] = known + CLASS_MEMORY * (ratio - known)
+                self._compare_speed(machine, job, took)
         self.end(placement, "done")
 
+    def _compare_speed(self, machine: Machine, job: Job, took: float) -> None:
+        """Finds machines much slower than others of the same type, by tasks of the same job."""
+        others = sorted(duration for other, duration in job.durations if other != machine.id)
+        if len(job.durations) < DURATIONS_KEPT:
+            job.durations.append((machine.id, took))
+        if len(others) >= 2 and took > SLOW * others[len(others) // 2]:
+            machine.slow_jobs.add(job.id)
+            if len(machine.slow_jobs) >= ERRORS_FAULTY and machine.draining is None:
+                log.info("machine %s is slow with tasks of %d jobs: emptying it", machine.id, len(machine.slow_jobs))
+                machine.draining = "it is slow"
+
     def failed(self, machine: Machine, placement: Placement) -> None:
         """Tells a faulty machine from a mistaken job: the one fails many jobs, the other on many machines."""
         job = self.jobs.get(placement.job)
@@ -593,7 +610,7 @@
             copies[machine.id] = self._node(machine, kind, now)
         for request, (offer, count) in self.fleet.renting.items():
             for number in range(count):
-                copy = Node(f"{request}-{number}", types[offer[0]], offer[1], offer[2], True, False, 0.0)
+                copy = Node(f"{request}-{number}", types[offer[0]], offer[1], offer[2], True, False)
                 copy.settle()
                 copies[copy.id] = copy
         waiting = []
@@ -618,7 +635,7 @@
         ready = machine.draining is None and not machine.releasing
         if up:
             ready = ready and machine.trusted and not quiet and machine.send_failures < 2
-        copy = Node(machine.id, kind, machine.zone, machine.spot, ready, up, 0.0, images=frozenset(machine.images))
+        copy = Node(machine.id, kind, machine.zone, machine.spot, ready, up, images=frozenset(machine.images))
         fetching = set()
         for placement in machine.placements.values():
             job = self.jobs.get(placement.job)
@@ -631,8 +648,9 @@
             unsaved = age % spec.checkpoint_s if spec.checkpoint_s else age
             copy.tasks.append(Running(
                 placement.key, spec, spec.team, spec.rank, spec.cpus, spec.gpus or 0.0, spec.memory_gb,
-                unsaved, self.remaining(job, placement, now), age,
-                leaving=placement.stop_grace is not None or placement.state == ENDED))
+                unsaved, self.remaining(job, placement, now),
+                leaving=placement.stop_grace is not None or placement.state == ENDED,
+                safe=job.stopped_for_others < spec.tasks))
         for task, stray in machine.strays.items():
             copy.tasks.append(Running((task, -1), None, stray.team, 99, stray.cpus, stray.gpus, stray.memory_gb,
                                       leaving=True))
@@ -729,6 +747,9 @@
                 continue
             log.info("task %s on %s is stopped to make room for %s/%d", placement.task, machine.id, key[0], key[1])
             self.stop(placement)
+            stopped = self.jobs.get(placement.job)
+            if stopped is not None:
+                stopped.stopped_for_others += 1
             longest = max(longest, placement.stop_grace or 0.0)
         for other in [k for k, n in self.nominations.items() if n.machine == machine.id and n.rank < job.spec.rank]:
             del self.nominations[other]
--- a/stileloft/coordination/scaling.py
+++ b/stileloft/coordination/scaling.py
@@ -115,7 +115,7 @@
         name, zone, spot = offer
         made += 1
         result.rent[offer] = result.rent.get(offer, 0) + 1
-        node = Node(f"new-{made}", snapshot.types[name], zone, spot, True, False, 0.0)
+        node = Node(f"new-{made}", snapshot.types[name], zone, spot, True, False)
         node.settle()
         coming.append(node)
         return node
--- a/stileloft/coordination/snapshot.py
+++ b/stileloft/coordination/snapshot.py
@@ -22,7 +22,6 @@
     memory_gb: float
     unsaved_s: float = 0.0
     remaining_s: float = 0.0
-    age_s: float = 0.0
     leaving: bool = False
     """It is already being stopped."""
     safe: bool = True
@@ -39,8 +38,6 @@
     spot: bool
     ready: bool
     up: bool
-    wait_s: float
-    """Seconds until it is expected up; 0 when it is."""
     tasks: list[Running] = field(default_factory=list)
     images: frozenset[str] = frozenset()
     fetching: frozenset[str] = frozenset()
--- a/stileloft/transport/server.py
+++ b/stileloft/transport/server.py
@@ -5,7 +5,7 @@
 from typing import Any
 
 from twisted.internet import defer
-from twisted.web import http, resource, server
+from twisted.web import resource, server
 
 log = logging.getLogger(__name__)
 
@@ -23,10 +23,6 @@
         self.headers = headers or {}
 
 
-class BadBody(Exception):
-    """A request body that cannot be decoded."""
-
-
 Handler = Callable[[Any, dict[str, str]], "Awaitable[Answer] | Answer"]
 
 
@@ -150,5 +146,3 @@
     site.log = lambda request: None  # every line costs; failures are logged where they happen
     return site
 
-
-__all__ = ["Answer", "BadBody", "Handler", "Router", "http", "make_site", "retry_later"]
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -193,7 +193,6 @@
         self.renewed = world.now
         self.notice: float | None = None
         self.tasks: dict[str, dict[str, Any]] = {}
-        self.forgotten_ok = True
         self.target = world.random.choice(world.names)
         self.reporting = False
         self.images: set[str] = set()
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -35,7 +35,7 @@
 
 
 def node(name: str, kind: MachineType, tasks: list[Running], **more: object) -> Node:
-    made = Node(name, kind, "a", True, True, True, 0.0, tasks, **more)  # type: ignore[arg-type]
+    made = Node(name, kind, "a", True, True, True, tasks, **more)  # type: ignore[arg-type]
     made.settle()
     return made
 
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -176,6 +176,27 @@
     assert world.rules.broken == []
 
 
+def test_a_slow_machine_is_emptied_and_returned() -> None:
+    world = World(seed=16, loss=0.0)
+    for number in range(12):
+        world.clock.callLater(1.0 + 6 * number, world.submit, world.job(number, pieces=8, vcpus=2.0, guessS=8.0))
+    world.run(30)
+    slow = next(m.name for m in world.cloud.machines.values() if m.up)
+    plain = world.run_s
+    world.run_s = lambda name: plain(name) * (5 if name in world.every_machine[slow].tasks else 1)  # type: ignore
+    world.lengths = SameLength()
+    finish(world)
+    assert slow not in world.cloud.machines
+    assert world.rules.broken == [] and set(world.rules.last.values()) == {"done"}
+
+
+class SameLength(dict):
+    """All tasks take eight seconds on a good machine."""
+
+    def setdefault(self, name: str, length: float) -> float:  # type: ignore[override]
+        return 8.0
+
+
 def test_a_large_job_is_one_record_until_its_tasks_start() -> None:
     world = World(seed=6)
     world.submit(world.job(1, pieces=100_000, vcpus=1.0, guessS=600.0))
