--- a/stileloft/coordination/placement.py
+++ b/stileloft/coordination/placement.py
@@ -51,8 +51,9 @@
     if spec.deadline_s is not None:
         latest = job.submitted + spec.deadline_s - job.estimate_s
         if latest < snapshot.now - job.estimate_s:
-            # Lost anyway: behind those that can still be met, in order of arrival.
-            latest = snapshot.now + job.estimate_s
+            # Lost anyway: behind those that are pressed now and can still be met, but not behind
+            # those that have time, or the longest would be begun when all else is done.
+            latest = snapshot.now
     else:
         latest = job.submitted + job.estimate_s
     return (-spec.rank, 0 if owed else 1, latest, job.submitted)
