--- a/stileloft/coordination/admission.py
+++ b/stileloft/coordination/admission.py
@@ -40,8 +40,10 @@
         return f"unknown team {spec.team!r}"
     if not any(fits_type(spec, kind) for kind in types.values()):
         return "a task fits no allowed machine type"
-    if (team.cpus_max and spec.cpus > team.cpus_max) or (team.gpus_max and (spec.gpus or 0) > team.gpus_max):
-        return "a task needs more than the team's limit"
+    at_once = 1 if spec.kind == "array" else spec.tasks
+    if ((team.cpus_max and at_once * spec.cpus > team.cpus_max)
+            or (team.gpus_max and at_once * (spec.gpus or 0) > team.gpus_max)):
+        return "what has to run at once needs more than the team's limit"
     return None
 
 
--- a/stileloft/coordination/leader.py
+++ b/stileloft/coordination/leader.py
@@ -422,6 +422,8 @@
                 self.stop(placement, 0.0)
 
     def remaining(self, job: Job, placement: Placement, now: float) -> float:
+        if job.spec.is_service:
+            return math.inf
         estimate = self.estimate(job.spec)
         if placement.running_since is None:
             return estimate
@@ -621,7 +623,7 @@
             if job.waiting <= 0 or job.not_before > now or job.reload:
                 continue
             count = job.waiting
-            tasks = job.free_tasks(TASKS_OFFERED if not job.errors else 1)
+            tasks = job.free_tasks(count if job.spec.is_gang else TASKS_OFFERED if not job.errors else 1)
             if self.stray_tasks:
                 tasks = [i for i in tasks if f"{job.id}/{i}" not in self.stray_tasks]
             avoid = frozenset(m for (j, m), until in self.avoided.items() if j == job.id and until > now)
@@ -650,7 +652,7 @@
                 placement.key, spec, spec.team, spec.rank, spec.cpus, spec.gpus or 0.0, spec.memory_gb,
                 unsaved, self.remaining(job, placement, now),
                 leaving=placement.stop_grace is not None or placement.state == ENDED,
-                safe=job.stopped_for_others < spec.tasks))
+                safe=not spec.is_service and job.stopped_for_others < spec.tasks))
         for task, stray in machine.strays.items():
             copy.tasks.append(Running((task, -1), None, stray.team, 99, stray.cpus, stray.gpus, stray.memory_gb,
                                       leaving=True))
