--- a/stileloft/coordination/leader.py
+++ b/stileloft/coordination/leader.py
@@ -623,7 +623,7 @@
             if job.waiting <= 0 or job.not_before > now or job.reload:
                 continue
             count = job.waiting
-            tasks = job.free_tasks(count if job.spec.is_gang else TASKS_OFFERED if not job.errors else 1)
+            tasks = job.free_tasks(TASKS_OFFERED if not job.errors else 1)
             if self.stray_tasks:
                 tasks = [i for i in tasks if f"{job.id}/{i}" not in self.stray_tasks]
             avoid = frozenset(m for (j, m), until in self.avoided.items() if j == job.id and until > now)
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -197,6 +197,17 @@
         return 8.0
 
 
+def test_a_service_runs_until_it_is_cancelled() -> None:
+    world = World(seed=17)
+    world.submit(world.job(1, shape="standing", pieces=3, guessS=1000.0))
+    world.clock.callLater(60.0, crash_leader, world)
+    world.run(120)
+    assert len(world.rules.where) == 3 and world.rules.last["j-000001"] == "running"
+    world.cancel("j-000001")
+    world.run(10)
+    assert world.rules.where == {} and world.rules.last["j-000001"] == "aborted" and world.rules.broken == []
+
+
 def test_a_large_job_is_one_record_until_its_tasks_start() -> None:
     world = World(seed=6)
     world.submit(world.job(1, pieces=100_000, vcpus=1.0, guessS=600.0))
