Gangs are placed whole, with a common attempt

From the reports in the check with real processes: members with different attempts gather and end as incomplete, with a common one they run.

--- a/stileloft/coordination/dispatch.py
+++ b/stileloft/coordination/dispatch.py
@@ -137,6 +137,10 @@
         elif task.why == "no_such":
             log.info("task %s is not known to %s", placement.task, machine.id)
             term.delay(placement.job, self.report_s / 2)
+        elif task.why in ("mates_gone", "incomplete"):
+            # Its gang comes again as a whole, once all of it has ended.
+            log.info("task %s left its gang on %s: %s", placement.task, machine.id, task.why)
+            term.delay(placement.job, self.report_s)
         elif task.why == "in_use":
             # The other attempt is listed too, and is stopped as a stray; meanwhile go elsewhere.
             log.info("task %s is on %s with another attempt", placement.task, machine.id)
--- a/stileloft/coordination/leader.py
+++ b/stileloft/coordination/leader.py
@@ -623,7 +623,7 @@
             if job.waiting <= 0 or job.not_before > now or job.reload:
                 continue
             count = job.waiting
-            tasks = job.free_tasks(TASKS_OFFERED if not job.errors else 1)
+            tasks = job.free_tasks(count if job.spec.is_gang else TASKS_OFFERED if not job.errors else 1)
             if self.stray_tasks:
                 tasks = [i for i in tasks if f"{job.id}/{i}" not in self.stray_tasks]
             avoid = frozenset(m for (j, m), until in self.avoided.items() if j == job.id and until > now)
@@ -679,6 +679,8 @@
                         usage[stray.team].gpus += stray.gpus
             for key, machine_id in decision.placed:
                 self._place(key, machine_id, usage)
+            for job_id in dict.fromkeys(key[0] for key, _ in decision.placed):
+                self._check_gang(job_id)
             for key, eviction in decision.evictions:
                 self._evict(key, eviction)
             if plan is not None:
@@ -725,7 +727,13 @@
         used.cpus += spec.cpus
         used.gpus += spec.gpus or 0.0
         chunk = job.chunks.setdefault(index // self.chunk_size, Chunk())
-        chunk.attempt += 1
+        if spec.is_gang:
+            # Members find each other by a common attempt, which is above all that any had.
+            chunk.attempt = max(
+                (p.attempt for p in job.placements() if p.state == PLANNED),
+                default=1 + max(other.attempt for other in job.chunks.values()))
+        else:
+            chunk.attempt += 1
         chunk.dirty = True
         placement = Placement(job.id, index, chunk.attempt, machine_id, machine.zone, machine.spot, PLANNED)
         job.add(placement)
@@ -736,6 +744,14 @@
         log.info("task %s attempt %d goes to %s, %.1f s after acceptance, image %s", placement.task, placement.attempt,
                  machine_id, self.wall() - job.submitted, "there" if spec.image in machine.images else "to fetch")
 
+    def _check_gang(self, job_id: str) -> None:
+        """Takes a gang back if not all of it could be placed."""
+        job = self.jobs.get(job_id)
+        if job is not None and job.spec.is_gang and job.waiting:
+            for placement in list(job.placements()):
+                if placement.state == PLANNED:
+                    self.end(placement, "its gang is not complete")
+
     def _evict(self, key: tuple[str, int], eviction: Any) -> None:
         job = self.jobs.get(key[0])
         machine = self.machines.get(eviction.machine)
--- a/stileloft/coordination/placement.py
+++ b/stileloft/coordination/placement.py
@@ -137,6 +137,38 @@
     return chosen
 
 
+def place_gang(job: Waiting, snapshot: Snapshot, decision: Decision, nodes: list[Node],
+               reserved: dict[str, list[Nomination]], smallest_cpus: float, largest_cpus: float) -> bool:
+    """Places all waiting tasks of a gang, or leaves everything as it was."""
+    spec = job.spec
+    if any(job.zones.values()):
+        return False  # the rest of it is ending: it comes again as a whole
+    team, used = snapshot.teams.get(spec.team), snapshot.usage.setdefault(spec.team, Usage())
+    taken: list[tuple[Node, Running]] = []
+    for index in job.tasks:
+        target = None
+        if within_limit(spec, team, used):
+            target = find(spec, job.zones, nodes, reserved, job.avoid, job.estimate_s, smallest_cpus, largest_cpus)
+        if target is None:
+            break
+        task = as_running(spec, (spec.id, index))
+        target.take(task)
+        taken.append((target, task))
+        job.zones[target.zone] = job.zones.get(target.zone, 0) + 1
+        used.cpus += spec.cpus
+        used.gpus += spec.gpus or 0.0
+    if len(taken) == job.count:
+        decision.placed += [(task.key, node.id) for node, task in taken]
+        job.count = 0
+        return True
+    for node, task in taken:
+        node.give(task)
+        job.zones[node.zone] -= 1
+        used.cpus -= spec.cpus
+        used.gpus -= spec.gpus or 0.0
+    return False
+
+
 def decide(snapshot: Snapshot, max_placed: int, max_evictions: int, may_preempt: bool = True) -> Decision:
     """One round. Works on the snapshot, which is used up by it."""
     decision = Decision()
@@ -155,6 +187,13 @@
         used = usage.setdefault(spec.team, Usage())
         nominated = 0
         stuck = False
+        if spec.is_gang:
+            # All of it or nothing, and waiting members stop nobody.
+            if place_gang(job, snapshot, decision, nodes, reserved, smallest, largest):
+                continue
+            if within_limit(spec, team, used):
+                decision.unmet.append((job, job.count))
+            continue
         for index in job.tasks:
             if len(decision.placed) >= max_placed:
                 break
--- a/stileloft/coordination/preemption.py
+++ b/stileloft/coordination/preemption.py
@@ -36,8 +36,8 @@
     owed = within_guarantee(spec, team, usage.get(spec.team, Usage()))
     found = []
     for task in node.tasks:
-        if task.leaving or task.spec is None:
-            continue
+        if task.leaving or task.spec is None or task.spec.is_gang:
+            continue  # a gang is one victim, on all its machines: no trial of one machine can weigh it
         lower = task.rank < spec.rank
         # A team is given its guarantee at the cost of others' borrowed work, but not of more
         # pressing work: that would come back at once and stop this task in turn.
--- a/stileloft/protocol/messages.py
+++ b/stileloft/protocol/messages.py
@@ -34,7 +34,7 @@
     id: Annotated[str, Meta(pattern=JOB_ID)] = field(name="nameId")
     job_class: Name = field(name="lane")
     team: Name = field(name="crew")
-    kind: Literal["array", "standing"] = field(name="shape")
+    kind: Literal["array", "gang", "standing"] = field(name="shape")
     priority: Literal["production", "urgent", "standard", "idle"] = field(name="urgency")
     tasks: Annotated[int, Meta(ge=1, le=MAX_TASKS)] = field(name="pieces")
     cpus: Amount = field(name="vcpus")
@@ -52,6 +52,11 @@
     spot: bool | None = field(name="loaner", default=None)
     deadline_s: Amount | None = field(name="dueS", default=None)
 
+    @property
+    def is_gang(self) -> bool:
+        """All its tasks run at the same time or not at all."""
+        return self.kind == "gang"
+
     @property
     def is_service(self) -> bool:
         """Its tasks run until the job is cancelled."""
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -209,6 +209,19 @@
     assert decide(snapshot({("j-1", 0): nomination}), 10, 8).placed == [(("j-1", 0), "n-0")]
 
 
+def test_a_gang_is_placed_whole_or_not_at_all() -> None:
+    gang = spec(1, 4.0, "urgent", tasks=3)
+    gang = JobSpec(**{**{f: getattr(gang, f) for f in gang.__struct_fields__}, "kind": "gang"})
+    for machines, expected in ((1, 0), (2, 3)):
+        nodes = [node(f"n-{i}", SMALL, []) for i in range(machines)]
+        waits = [Waiting(gang, 0.0, 3, [0, 1, 2], {}, 10.0)]
+        snapshot = Snapshot(0.0, {n.id: n for n in nodes}, waits, TEAMS, used(nodes), {}, {"small": SMALL})
+        decision = decide(snapshot, 10, 8)
+        assert len(decision.placed) == expected and decision.evictions == []
+        assert [job.spec.id for job, _ in decision.unmet] == (["j-1"] if expected == 0 else [])
+        assert sum(n.cpus for n in nodes) == 8.0 * machines - 4.0 * expected
+
+
 def test_room_beside_counts_equal_and_higher_nominations_only() -> None:
     one = node("n-0", SMALL, [])
     lower = Nomination(("j-5", 0), "n-0", 0, spec(5, 8.0, "idle"), 1.0)
