--- a/stileloft/bookkeeping/model.py
+++ b/stileloft/bookkeeping/model.py
@@ -88,7 +88,6 @@
         self.counts_stored = (0, 0)
         self.counts_at = 0.0
         self.errors: set[str] = set()
-        self.error_count = 0
         self.not_before = 0.0
         self.stopped_for_others = 0
         """How many of its tasks were stopped to make room: beyond one per task its budget is spent."""
--- a/stileloft/coordination/fleet.py
+++ b/stileloft/coordination/fleet.py
@@ -55,7 +55,6 @@
         self.renting: dict[str, tuple[Offer, int]] = {}
         self.recent: dict[str, list[Any]] = {}
         """Machines rented lately, as in the store's `rented` record."""
-        self.recent_version = 0
         self._serial = 0
         self._asking = False
         self._not_deaf_until = 0.0
--- a/stileloft/coordination/leader.py
+++ b/stileloft/coordination/leader.py
@@ -260,7 +260,7 @@
                     job.recount()
                     self.jobs[job_id] = job
                     self._learn(job)
-                self.poke(True)
+                self.poke()
             return
         if job is None or job.over:
             return
@@ -370,7 +370,6 @@
         machine.error_count += 1
         if job is not None:
             job.errors.add(machine.id)
-            job.error_count += 1
             self.avoid(placement, machine.id, self.settings.workers.lease_s * 4)
             if len(job.errors) > 1:
                 pause = min(BACKOFF_MAX_S, BACKOFF_S * 2 ** len(job.errors))
@@ -520,7 +519,7 @@
 
     # -- the round ------------------------------------------------------------------
 
-    def poke(self, soon: bool = False) -> None:
+    def poke(self) -> None:
         """Asks for a round of decisions."""
         if not self.alive or not self.loaded:
             return
