The added rules: known, served and begun jobs, machines that hear nothing, late copies

Each is shown on the stand-ins, whose checker sees unanswered and unserved jobs. - Old jobs go first: each begins with one task from 144 s on, then old work has a quarter of the machines.

--- a/stileloft/bookkeeping/model.py
+++ b/stileloft/bookkeeping/model.py
@@ -34,8 +34,8 @@
     stop_grace: float | None = None
     """Not None: it is to be stopped, with this much time to save."""
     stop_at: float = 0.0
-    aged: bool = False
-    """It was placed ahead of more pressing work because of its job's age: such work does not stop it."""
+    shielded: bool = False
+    """It was placed before more pressing work because of its job's age: such work does not stop it."""
 
     @property
     def key(self) -> TaskKey:
@@ -87,6 +87,8 @@
         """A transaction about this job is under way, or its outcome is unknown."""
         self.reload = False
         self.dirty = False
+        self.begun = False
+        """One of its tasks has run."""
         self.counts_stored = (0, 0)
         self.counts_at = 0.0
         self.errors: set[str] = set()
@@ -173,6 +175,7 @@
         self.done_chunks = records.from_ranges(value["f"])
         self.stopped_for_others = max(self.stopped_for_others, value.get("e", 0))
         self.counts_stored = tuple(value["c"])  # type: ignore[assignment]
+        self.begun = self.begun or any(self.counts_stored)
 
     def load_chunk(self, number: int, value: dict[str, Any], version: int) -> None:
         """Takes the store's word for a chunk, keeping what is known of unchanged placements."""
@@ -238,6 +241,8 @@
     heard_at: float = 0.0
     answered_at: float | None = None
     """When the last report that we answered came in."""
+    reached_at: float = float("-inf")
+    """When it was last known to hear us."""
     first_seen: float = 0.0
     up_since: float | None = None
     rented_at: float = 0.0
@@ -248,7 +253,8 @@
     """Why nothing more is started here."""
     placements: dict[TaskKey, Placement] = field(default_factory=dict)
     strays: dict[str, Stray] = field(default_factory=dict)
-    forgets: dict[str, int] = field(default_factory=dict)
+    forgets: dict[str, tuple[int, float]] = field(default_factory=dict)
+    """Exited tasks to be forgotten: attempt, and from when on."""
     images: dict[str, None] = field(default_factory=dict)
     """Images it has, as far as seen; the one used last comes last."""
     images_stored: bool = True
--- a/stileloft/coordination/dispatch.py
+++ b/stileloft/coordination/dispatch.py
@@ -7,6 +7,7 @@
 
 from stileloft.bookkeeping import records
 from stileloft.bookkeeping.model import BOUND, ENDED, Machine, Placement, Stray
+from stileloft.coordination.fleet import UNANSWERED_S
 from stileloft.protocol import messages
 from stileloft.protocol.messages import Report, TaskReport
 from stileloft.protocol.workers import NotDelivered, Uncertain
@@ -21,6 +22,8 @@
 # Repeats and retries, as parts of the report interval.
 REPEAT_STOP = 1.0
 RETRY = 0.4
+# Attempts that were stopped are forgotten after this many leases.
+FORGET_LEASES = 4.0
 
 
 class Dispatch:
@@ -84,7 +87,7 @@
                 if placement.state != ENDED:
                     self._take_state(machine, placement, task, now)
             elif task.state == "exited":
-                machine.forgets[task.task] = task.attempt
+                self.forget_later(machine, task.task, task.attempt, task.why == "done")
             else:
                 strays[task.task] = self._stray(key[0], task)
         for task_id in machine.strays.keys() - strays.keys():
@@ -126,6 +129,7 @@
                     if placement.running_since is None:
                         placement.running_since = now
                     if job is not None:
+                        job.begun = True
                         term.fleet.has_image(machine, job.spec.image)
                         term.dirty[job.id] = None
                         term.ledger.later(0.25)
@@ -155,11 +159,24 @@
     def on_report(self, report: Report) -> dict[str, Any]:
         """Takes in a report that a worker sent, and answers it."""
         term = self.term
+        now = term.clock.seconds()
+        machine = term.machine(report.machine)
+        session, seq, before = machine.session, machine.seq, machine.heard_at
         machine = self.observe(report)
-        machine.answered_at = term.clock.seconds()
+        if (machine.session, machine.seq) == (session, seq):
+            # A copy that comes late. Nobody waits for the answer, and it must show no sign of life.
+            return messages.orders(term.token, [])
+        if machine.session != session:
+            machine.reached_at = float("-inf")  # its tasks were lost though we answered: ask whether it hears us
+        elif now - before < UNANSWERED_S:
+            machine.reached_at = max(machine.reached_at, before)  # or it would not report to us again so soon
+        machine.answered_at = now
         commands: list[dict[str, Any]] = []
-        if machine.trusted and machine.session == report.session and term.confirmed():
-            commands = self._stops(machine) + self._forgets(machine)
+        if machine.trusted and machine.session == report.session:
+            # Stops do no harm, even if we lead no longer: the token sees to that.
+            commands = self._stops(machine)
+            if term.confirmed():
+                commands += self._forgets(machine)
         if machine.trusted and not machine.sending and self._starts(machine):
             self.send(machine)
         elif not machine.trusted:
@@ -168,6 +185,10 @@
 
     # -- commands ---------------------------------------------------------------
 
+    def reaches(self, machine: Machine, now: float) -> bool:
+        """Whether the machine showed lately that it hears us: one that is only heard is of no use."""
+        return now - machine.reached_at <= self.term.fleet.reached_s
+
     def _starts(self, machine: Machine) -> list[Placement]:
         """Placements whose task has to be started, or whose start has to be repeated."""
         term = self.term
@@ -200,9 +221,23 @@
         """
         if machine.sending or machine.uncertain_session == machine.session:
             return []
-        commands = [messages.forget(task, attempt) for task, attempt in list(machine.forgets.items())[:MAX_COMMANDS]]
-        machine.forgets.clear()  # what is reported again is forgotten again
-        return commands
+        now = self.term.clock.seconds()
+        due = [(task, entry[0]) for task, entry in machine.forgets.items() if entry[1] <= now][:MAX_COMMANDS]
+        for task, _ in due:
+            del machine.forgets[task]  # what is reported again is forgotten again
+        return [messages.forget(task, attempt) for task, attempt in due]
+
+    def forget_later(self, machine: Machine, task: str, attempt: int, done: bool) -> None:
+        """Has an exited task forgotten that the store no longer places there.
+
+        A repeat of its start may still come, and would run a forgotten attempt again, perhaps beside a
+        newer one elsewhere. So attempts that were stopped stay known for as long as repeats may come;
+        a task that is done only says so again.
+        """
+        known = machine.forgets.get(task)
+        if known is None or known[0] != attempt:
+            wait_s = 0.0 if done else FORGET_LEASES * self.term.settings.workers.lease_s
+            machine.forgets[task] = attempt, self.term.clock.seconds() + wait_s
 
     def send(self, machine: Machine) -> None:
         """Sends what the machine has to do, one message at a time."""
@@ -212,7 +247,8 @@
             return
         starts = self._starts(machine)[:MAX_COMMANDS]
         commands = self._stops(machine)
-        if not commands and not starts and (machine.trusted or not self._worth_claiming(machine)):
+        known = machine.trusted and (self.reaches(machine, now) or not machine.reported)
+        if not commands and not starts and (known or not self._worth_claiming(machine)):
             return  # exited tasks can wait for the answer to the next report
         commands += self._forgets(machine)
         commands += [messages.start(p.task, p.attempt) for p in starts]
@@ -244,6 +280,8 @@
         if not term.alive:
             return
         machine.send_failures = 0
+        if executed:
+            machine.reached_at = term.clock.seconds()
         if report.token > term.token:
             term.depose(f"{machine.id} knows token {report.token}")
             return
--- a/stileloft/coordination/fleet.py
+++ b/stileloft/coordination/fleet.py
@@ -18,8 +18,12 @@
 
 log = logging.getLogger(__name__)
 
-# Silence after which nothing more is placed on a machine, in report intervals.
+# Silence after which nothing more is placed on a machine, in report intervals, and the same for the
+# last sign that it hears us.
 QUIET_REPORTS = 2.0
+REACHED_REPORTS = 3.5
+# A worker that got no answer reports to the same node again after this long at the earliest.
+UNANSWERED_S = 4.5
 # Silence that counts for the question whether we hear at all, and the answer to it.
 DEAF_REPORTS = 1.6
 WORKER_PATIENCE_S = 5.0
@@ -47,6 +51,7 @@
         workers = term.settings.workers
         self.lease_s = workers.lease_s
         self.quiet_s = QUIET_REPORTS * workers.report_s
+        self.reached_s = REACHED_REPORTS * workers.report_s
         self.deaf_s = DEAF_REPORTS * workers.report_s
         # A worker gives up on an answer after 4 s, and asks the next node up to an interval later.
         self.verdict_s = WORKER_PATIENCE_S + VERDICT_REPORTS * workers.report_s
@@ -131,8 +136,9 @@
             return
         # One that has reached us meanwhile was only slow.
         still = [machine for machine in quiet if machine.heard_at == asked[machine.id]]
-        heard = {machine for view in views for machine in view.machines}
-        missed = sum(1 for machine in still if machine.id in heard)
+        # A late copy that came to a peer does not show that a machine is alive: only what we have not heard counts.
+        missed = sum(1 for machine in still if any(
+            tuple(view.machines.get(machine.id, (0, 0))) > (machine.session, machine.seq) for view in views))
         now = term.clock.seconds()
         late = all(now - max(machine.heard_at, term.started_at) > self.verdict_s for machine in still)
         if missed * 4 >= len(still) and missed:
--- a/stileloft/coordination/leader.py
+++ b/stileloft/coordination/leader.py
@@ -29,6 +29,7 @@
 from stileloft.coordination.placement import Decision
 from stileloft.coordination.snapshot import (
     EPSILON,
+    SHIELDED,
     Node,
     Nomination,
     Running,
@@ -38,7 +39,7 @@
     within_limit,
     zone_allowed,
 )
-from stileloft.protocol.messages import PRIORITIES, JobSpec, MachineType, Report, orders
+from stileloft.protocol.messages import JobSpec, MachineType, Report, orders
 from stileloft.protocol.state import Compacted, Unavailable, Unknown
 
 if TYPE_CHECKING:
@@ -52,10 +53,11 @@
 CHECK_S = 0.5
 # A machine's copy for the decisions is kept for so long: its tasks' remaining times may be this old.
 VIEW_S = 1.0
-# The rank of what more pressing work may not stop.
-SHIELDED = max(PRIORITIES.values()) + 1
+# A job that waits for longer goes before more pressing work, which would keep it waiting without an end: jobs
+# are to begin within 240 s.
+AGED_S = 0.6 * 240.0
 PLAN_S = 2.0
-WATCH_S = 10.0
+WATCH_S = 4.0
 # What one round places, as a multiple of the changes in a transaction.
 PLACED_TXNS = 2
 MAX_EVICTIONS = 8
@@ -124,6 +126,8 @@
         self.dispatch = Dispatch(self)
         self.fleet = Fleet(self)
         self.revision = 0
+        self.informed_at = self.started_at
+        """When the store last answered our watch of jobs."""
         self.last_decision: dict[str, Any] = {}
         self._round_running = False
         self._round_due: Any = None
@@ -160,6 +164,10 @@
     def confirmed(self) -> bool:
         return self.alive and self.node.election.confirmed()
 
+    def uninformed_for(self) -> float:
+        """Seconds since we last knew of all cancellations, beyond what a watch may wait."""
+        return max(0.0, self.clock.seconds() - self.informed_at - WATCH_S)
+
     def depose(self, reason: str) -> None:
         if self.alive:
             self.node.election.step_down(reason)
@@ -233,6 +241,7 @@
                 if not self.alive:
                     return
                 self.revision = revision
+                self.informed_at = self.clock.seconds()
                 for key, value, version in events:
                     self._on_change(key[len(records.ACTIVE):], value, version)
             except Compacted:
@@ -345,7 +354,7 @@
         if machine.placements.get(placement.key) is placement:
             del machine.placements[placement.key]
         if placement.seen == "exited":
-            machine.forgets[placement.task] = placement.attempt
+            self.dispatch.forget_later(machine, placement.task, placement.attempt, placement.done)
         if not machine.placements and not machine.strays and machine.idle_since is None:
             machine.idle_since = self.clock.seconds()
 
@@ -640,7 +649,8 @@
                 tasks = [i for i in tasks if f"{job.id}/{i}" not in self.stray_tasks]
             avoid = frozenset(m for (j, m), until in self.avoided.items() if j == job.id and until > now)
             waiting.append(Waiting(job.spec, job.submitted, count, tasks, dict(job.zones),
-                                   self.estimate(job.spec), self.wait_goals.get(job.spec.job_class), avoid))
+                                   self.estimate(job.spec), self.wait_goals.get(job.spec.job_class), avoid,
+                                   self._aged(job), begun=job.begun))
         return Snapshot(self.wall(), copies, waiting, self.teams, usage, dict(self.nominations), types)
 
     def _view(self, machine: Machine, kind: MachineType, now: float) -> Node:
@@ -661,7 +671,8 @@
             return False
         if machine.up_since is None:
             return True
-        return machine.trusted and now - machine.heard_at <= self.fleet.quiet_s and machine.send_failures < 2
+        return (machine.trusted and now - machine.heard_at <= self.fleet.quiet_s and machine.send_failures < 2
+                and self.dispatch.reaches(machine, now))
 
     def _node(self, machine: Machine, kind: MachineType, now: float) -> Node:
         copy = Node(machine.id, kind, machine.zone, machine.spot, self._ready(machine, now),
@@ -677,7 +688,7 @@
             age = now - placement.running_since if placement.running_since is not None else 0.0
             unsaved = age % spec.checkpoint_s if spec.checkpoint_s else age
             copy.tasks.append(Running(
-                placement.key, spec, spec.team, SHIELDED if placement.aged else spec.rank, spec.cpus,
+                placement.key, spec, spec.team, SHIELDED if placement.shielded else spec.rank, spec.cpus,
                 spec.gpus or 0.0, spec.memory_gb, unsaved, self.remaining(job, placement, now),
                 leaving=placement.stop_grace is not None,
                 safe=not spec.is_service and job.stopped_for_others < spec.tasks))
@@ -689,6 +700,9 @@
         copy.settle()
         return copy
 
+    def _aged(self, job: Job) -> bool:
+        return self.wall() - job.submitted > AGED_S
+
     def _has_room(self, machine: Machine, kind: MachineType, spec: JobSpec) -> bool:
         cpus, gpus, memory_gb = spec.cpus, spec.gpus or 0.0, spec.memory_gb
         for placement in machine.placements.values():
@@ -721,7 +735,7 @@
                         usage[stray.team].cpus += stray.cpus
                         usage[stray.team].gpus += stray.gpus
             for key, machine_id in decision.placed:
-                self._place(key, machine_id, usage)
+                self._place(key, machine_id, usage, key[0] in decision.first)
             for job_id in dict.fromkeys(key[0] for key, _ in decision.placed):
                 self._check_gang(job_id)
             for key, eviction in decision.evictions:
@@ -743,7 +757,7 @@
         if self.dirty:
             self.ledger.flush()
 
-    def _place(self, key: tuple[str, int], machine_id: str, usage: dict[str, Usage]) -> None:
+    def _place(self, key: tuple[str, int], machine_id: str, usage: dict[str, Usage], shielded: bool) -> None:
         job = self.jobs.get(key[0])
         machine = self.machines.get(machine_id)
         if (job is None or machine is None or job.over or job.reload or machine.draining or machine.releasing
@@ -777,7 +791,8 @@
         else:
             chunk.attempt += 1
         chunk.dirty = True
-        placement = Placement(job.id, index, chunk.attempt, machine_id, machine.zone, machine.spot, PLANNED)
+        placement = Placement(job.id, index, chunk.attempt, machine_id, machine.zone, machine.spot, PLANNED,
+                              shielded=shielded)
         job.add(placement)
         machine.placements[key] = placement
         machine.idle_since = machine.view = None
--- a/stileloft/coordination/node.py
+++ b/stileloft/coordination/node.py
@@ -13,7 +13,8 @@
 
 from stileloft.bookkeeping import records
 from stileloft.coordination.admission import Admission, Impossible, NotDecidable
-from stileloft.coordination.election import Election
+from stileloft.coordination.election import DRIFT, Election
+from stileloft.coordination.fleet import MARGIN_LEASES
 from stileloft.coordination.leader import Term
 from stileloft.protocol import messages
 from stileloft.protocol.admin import (
@@ -30,7 +31,7 @@
 from stileloft.protocol.state import Budget, Compacted, Conflict, StateClient, Unavailable, Unknown
 from stileloft.protocol.users import PublicResources
 from stileloft.protocol.workers import WorkerClient
-from stileloft.settings import Settings, split_address
+from stileloft.settings import Settings, Workers, split_address
 from stileloft.transport.client import Client
 from stileloft.transport.server import Answer, Router, make_site, retry_later
 
@@ -55,8 +56,11 @@
 # The leader's lease, as a part of the workers'.
 LEADER_LEASE = 0.1
 
-# How long leaders answer reports unconfirmed, as a multiple of the workers' lease.
+# How long leaders answer reports unconfirmed, as a multiple of the workers' lease; less where
+# tasks would otherwise outlive the cancellation of their job.
 GRACE_LEASES = 3.0
+# A node that neither the state service nor any peer answers for so long sends users elsewhere.
+ALONE_S = 3 * SERVED_S
 
 
 class Node:
@@ -92,12 +96,12 @@
         self.admission = Admission(reactor, self.state, self.teams, self, reads, writes, wall)
         self.nonce = secrets.token_hex(8)
         life_s = deployment.workers.lease_s * LEADER_LEASE
-        self.grace_s = GRACE_LEASES * deployment.workers.lease_s
+        self.grace_s = blind_grace(deployment.workers, life_s)
         self.election = Election(reactor, self.state, settings.member, self.nonce, life_s,
                                  self._elected, self._deposed)
         self.term: Term | None = None
         self.operator_settings = OperatorSettings()
-        self._referred: dict[str, float] = {}
+        self._referred: dict[str, tuple[float, tuple[int, int]]] = {}
 
     # -- life ---------------------------------------------------------------
 
@@ -173,6 +177,9 @@
                 refused = any(view.served_ago_s < now - failing_since for view in views)
                 if refused and not self.refused:
                     log.info("the state service serves other nodes but not this one")
+                if not views and self.settings.peers and now - failing_since > ALONE_S:
+                    # Cut off, rather than in an outage: others can serve our users.
+                    refused = True
                 self.refused = refused
             except Exception:
                 log.exception("asking the state service")
@@ -206,18 +213,24 @@
             self.election.step_down(f"{report.machine} knows token {report.token}")
             term = None
         if term is None:
-            self._referred.pop(report.machine, None)
-            self._referred[report.machine] = self.reactor.seconds()
-            if len(self._referred) > REFERRED_KEPT:
-                del self._referred[next(iter(self._referred))]
+            self._refer(report)
             leader = self.election.leader
             if leader is not None and leader != self.settings.member:
                 return Answer(421, {"steward": leader})
             return Answer(421, {})
-        if not self.election.confirmed() and self.election.blind_for() > self.grace_s:
+        if not self.election.confirmed() and max(self.election.blind_for(), term.uninformed_for()) > self.grace_s:
             return retry_later(503, "leadership is not confirmed", 1)
         return Answer(200, term.on_report(report))
 
+    def _refer(self, report: Report) -> None:
+        """Remembers which machines still look for the leader. A late copy of a report says nothing of that."""
+        newest = (report.session, report.seq)
+        if newest <= self._referred.get(report.machine, (0.0, (0, 0)))[1]:
+            return
+        self._referred.pop(report.machine, None)
+        self._referred[report.machine] = self.reactor.seconds(), newest
+        if len(self._referred) > REFERRED_KEPT:
+            del self._referred[next(iter(self._referred))]
 
     # -- administration ---------------------------------------------------------
 
@@ -242,7 +255,8 @@
         """What this node sees, for a peer that doubts its own view."""
         now = self.reactor.seconds()
         recent = now - VIEW_REPORTS * self.settings.deployment.workers.report_s
-        return PeerView(min(now - self.state.served_at, 1e9), [m for m, at in self._referred.items() if at > recent])
+        return PeerView(min(now - self.state.served_at, 1e9),
+                        {machine: newest for machine, (at, newest) in self._referred.items() if at > recent})
 
     async def read_settings(self) -> tuple[OperatorSettings, int]:
         """The operators' settings in the store, and their version (0: never set)."""
@@ -272,5 +286,15 @@
         return changed
 
 
+def blind_grace(workers: Workers, life_s: float) -> float:
+    """How long a leader may answer reports without knowing that it still leads.
+
+    Meanwhile others may tell users that jobs are cancelled, of which it hears nothing. What it keeps alive
+    ends a worker's lease after its last answer, which must be before the time for a cancellation is over.
+    """
+    latest = workers.cancel_s - workers.lease_s * (1 + MARGIN_LEASES + 2 * DRIFT) - life_s - STATE_TIMEOUT_S
+    return max(0.0, min(GRACE_LEASES * workers.lease_s, latest))
+
+
 def _orjson_loads(data: bytes) -> Any:
     return orjson.loads(data)
--- a/stileloft/coordination/placement.py
+++ b/stileloft/coordination/placement.py
@@ -1,7 +1,6 @@
 """The ordinary path: in which order tasks are served, and where each goes."""
 
 import heapq
-from collections.abc import Iterable
 from dataclasses import dataclass, field
 
 from stileloft.bookkeeping.model import TaskKey
@@ -9,6 +8,7 @@
 from stileloft.coordination.preemption import Eviction
 from stileloft.coordination.snapshot import (
     EPSILON,
+    SHIELDED,
     Hold,
     Node,
     Nomination,
@@ -35,6 +35,8 @@
 GOAL_PART = 0.6
 # Machines at the full price empty first, so that they can be returned.
 ON_DEMAND = 2.0
+# Work that goes first because of its age takes no more than this part of the processors.
+AGED_PART = 0.25
 # Waiting tasks that room is kept for in one round.
 MAX_HOLDS = 8
 
@@ -45,11 +47,16 @@
     evictions: list[tuple[TaskKey, Eviction]] = field(default_factory=list)
     unmet: list[tuple[Waiting, int]] = field(default_factory=list)
     """Jobs, and how many of their tasks got neither place nor nomination."""
+    first: frozenset[str] = frozenset()
+    """Jobs that went before more pressing work because of their age."""
 
 
 def order_key(job: Waiting, snapshot: Snapshot, usage: dict[str, Usage]) -> tuple[float, ...]:
     """Age, priority, then the team's guarantee, then the latest start that meets the deadline."""
     spec = job.spec
+    if job.first:
+        # All of them are old, the more pressing ones too. First each is to begin.
+        return (0, 1 if job.begun else 0, job.submitted)
     owed = within_guarantee(spec, snapshot.teams.get(spec.team), usage.get(spec.team, Usage()))
     if spec.deadline_s is not None:
         latest = job.submitted + spec.deadline_s - job.estimate_s
@@ -59,7 +66,20 @@
             latest = snapshot.now
     else:
         latest = job.submitted + job.estimate_s
-    return (0 if job.aged else 1, -spec.rank, 0 if owed else 1, latest, job.submitted)
+    return (1, -spec.rank, 0 if owed else 1, latest, job.submitted)
+
+
+def limit_aged(snapshot: Snapshot) -> None:
+    """Of the jobs that have grown old each begins with a task; then the oldest go on, within such work's part."""
+    nodes = [node for node in snapshot.nodes.values() if node.up and node.ready]
+    room = AGED_PART * sum(node.type.cpus for node in nodes)
+    room -= sum(task.cpus for node in nodes for task in node.tasks if task.rank == SHIELDED)
+    aged = [job for job in snapshot.waiting if job.aged]
+    for job in sorted(aged, key=lambda job: (job.begun, job.submitted, job.spec.id)):
+        job.first = room > 0 or not job.begun
+        if not job.begun and not job.spec.is_gang:
+            job.tasks = job.tasks[:1]
+        room -= (job.count if job.begun else 1) * job.spec.cpus
 
 
 def fetch_time(spec: JobSpec, node: Node) -> float:
@@ -90,18 +110,20 @@
     return total
 
 
-def as_running(spec: JobSpec, key: TaskKey) -> Running:
-    return Running(key, spec, spec.team, spec.rank, spec.cpus, spec.gpus or 0.0, spec.memory_gb)
+def as_running(spec: JobSpec, key: TaskKey, shielded: bool = False) -> Running:
+    rank = SHIELDED if shielded else spec.rank
+    return Running(key, spec, spec.team, rank, spec.cpus, spec.gpus or 0.0, spec.memory_gb)
 
 
-def hold_room(spec: JobSpec, zones: dict[str, int], nodes: Iterable[Node], holds: dict[str, Hold],
-              avoid: frozenset[str]) -> bool:
+def hold_room(job: Waiting, snapshot: Snapshot) -> None:
     """Keeps room for a task on the machine that will have it first."""
+    spec, holds = job.spec, snapshot.holds
+    if len(holds) >= MAX_HOLDS:
+        return
     best: tuple[float, str] | None = None
-    chosen: tuple[Node, Hold] | None = None
-    for node in nodes:
-        if (spec.cpus > node.type.cpus or not node.up or not node.ready or node.id in holds or node.id in avoid
-                or not allowed(spec, node) or not zone_allowed(spec, zones, node.zone)):
+    for node in snapshot.nodes.values():
+        if (spec.cpus > node.type.cpus or not node.up or not node.ready or node.id in holds or node.id in job.avoid
+                or not allowed(spec, node) or not zone_allowed(spec, job.zones, node.zone)):
             continue
         cpus, gpus, memory_gb = node.cpus, node.gpus, node.memory_gb
         at = 0.0
@@ -114,11 +136,10 @@
             continue
         if best is None or (at, node.id) < best:
             best = at, node.id
-            chosen = node, Hold(at, cpus - spec.cpus, gpus - (spec.gpus or 0.0), memory_gb - spec.memory_gb)
-    if chosen is None:
-        return False
-    holds[chosen[0].id] = chosen[1]
-    return True
+            hold = Hold(at, cpus - spec.cpus, gpus - (spec.gpus or 0.0), memory_gb - spec.memory_gb,
+                        spec.id if job.first else "")
+    if best is not None:
+        holds[best[1]] = hold
 
 
 @dataclass(slots=True)
@@ -135,6 +156,8 @@
     """Machines on which something has room."""
     least_cpus: float
     """What the smallest waiting task takes."""
+    saving: set[str] = field(default_factory=set)
+    """Teams at their limit, of which an old job is to have what becomes free."""
 
     def narrow(self) -> None:
         """Leaves out the machines that have become full."""
@@ -227,15 +250,15 @@
     return False
 
 
-def place_task(job: Waiting, index: int, target: Node, snapshot: Snapshot, decision: Decision) -> None:
-    spec = job.spec
+def place_task(job: Waiting, index: int, target: Node, about: Round, decision: Decision) -> None:
+    spec, snapshot = job.spec, about.snapshot
     node = snapshot.own(target.id)
     hold = snapshot.holds.get(node.id)
     if hold is not None and job.estimate_s > hold.until_s:
         hold.cpus -= spec.cpus
         hold.gpus -= spec.gpus or 0.0
         hold.memory_gb -= spec.memory_gb
-    node.take(as_running(spec, (spec.id, index)))
+    node.take(as_running(spec, (spec.id, index), job.first))
     if spec.image not in node.images:
         node.fetching |= {spec.image}
     count_in(job, snapshot.usage.setdefault(spec.team, Usage()), node.zone)
@@ -273,7 +296,15 @@
     candidates: Candidates | None = None
     trials: preemption.Trials | None = None
     for index in job.tasks:
-        if len(decision.placed) >= max_placed or not within_limit(spec, team, used):
+        if len(decision.placed) >= max_placed:
+            break
+        if not within_limit(spec, team, used):
+            if job.first and spec.team not in about.saving:
+                # What its team gives up is kept for it: small tasks would take each bit as it becomes free.
+                about.saving.add(spec.team)
+                used.cpus += spec.cpus
+                used.gpus += spec.gpus or 0.0
+                hold_room(job, snapshot)
             break
         own = snapshot.nominations.get((spec.id, index))
         target: Node | None = None
@@ -291,7 +322,7 @@
                 candidates = Candidates(job, about)
             target = candidates.best()
         if target is not None:
-            place_task(job, index, target, snapshot, decision)
+            place_task(job, index, target, about, decision)
             if candidates is not None:
                 candidates.changed(target.id)
             continue
@@ -300,9 +331,9 @@
             nominated += 1
             continue
         if trials is None:
-            if len(snapshot.holds) < MAX_HOLDS:
-                hold_room(spec, job.zones, snapshot.nodes.values(), snapshot.holds, job.avoid)
-            trials = preemption.Trials(spec, job.zones, job.avoid, snapshot.nodes, about.reserved, snapshot.teams,
+            hold_room(job, snapshot)
+            avoid = job.avoid | {name for name, hold in snapshot.holds.items() if hold.owner not in ("", spec.id)}
+            trials = preemption.Trials(spec, job.zones, avoid, snapshot.nodes, about.reserved, snapshot.teams,
                                        snapshot.usage)
         if len(decision.evictions) >= max_evictions:
             break
@@ -319,7 +350,8 @@
 
 def decide(snapshot: Snapshot, max_placed: int, max_evictions: int) -> Decision:
     """One round. Works on the snapshot, which is used up by it."""
-    decision = Decision()
+    limit_aged(snapshot)
+    decision = Decision(first=frozenset(job.spec.id for job in snapshot.waiting if job.first))
     nodes = snapshot.nodes
     kinds = snapshot.types.values()
     smallest = min((kind.cpus for kind in kinds), default=0.0)
--- a/stileloft/coordination/scaling.py
+++ b/stileloft/coordination/scaling.py
@@ -139,7 +139,7 @@
         spec = job.spec
         zones = dict(job.zones)
         left = take(spec, count, zones, coming, 0)
-        if left and soon_served(spec, left, job.estimate_s, snapshot):
+        if left and soon_served(spec, left, snapshot):
             continue
         while left:
             new = rent(spec, zones, not pays_full_price(job, snapshot))
@@ -186,7 +186,7 @@
     return -LATE_BOOTS * ready_s < spare_s < EARLY_BOOTS * ready_s
 
 
-def soon_served(spec: JobSpec, count: int, estimate_s: float, snapshot: Snapshot) -> bool:
+def soon_served(spec: JobSpec, count: int, snapshot: Snapshot) -> bool:
     """Whether the present machines will have room well before a new one could be up."""
     soon = 0
     boot_s = min((kind.boot_s for kind in snapshot.types.values() if fits_type(spec, kind)), default=0.0)
--- a/stileloft/coordination/snapshot.py
+++ b/stileloft/coordination/snapshot.py
@@ -4,10 +4,12 @@
 from dataclasses import dataclass, field, replace
 
 from stileloft.bookkeeping.model import TaskKey
-from stileloft.protocol.messages import JobSpec, MachineType
+from stileloft.protocol.messages import PRIORITIES, JobSpec, MachineType
 from stileloft.settings import Team
 
 EPSILON = 1e-6
+# The rank of what more pressing work may not stop.
+SHIELDED = max(PRIORITIES.values()) + 1
 
 Room = tuple[float, float, float]
 """Processors, accelerators, memory."""
@@ -123,9 +125,12 @@
     gpus: float
     memory_gb: float
     """What is left then beside the task."""
+    owner: str = ""
+    """The job that the room is kept for, if it is old: no trial gives the room to others."""
 
     def lets(self, spec: JobSpec, estimate_s: float) -> bool:
-        return estimate_s <= self.until_s or (
+        # Estimates are too rough for a job that has waited for long already.
+        return (not self.owner and estimate_s <= self.until_s) or (
             spec.cpus <= self.cpus + EPSILON and (spec.gpus or 0.0) <= self.gpus + EPSILON
             and spec.memory_gb <= self.memory_gb + EPSILON)
 
@@ -148,7 +153,11 @@
     avoid: frozenset[str] = frozenset()
     """Machines on which the job failed."""
     aged: bool = False
-    """It has waited for so long that more pressing work no longer goes first."""
+    """It has waited for long."""
+    first: bool = False
+    """It goes before more pressing work in this round, which does not stop what it begins."""
+    begun: bool = True
+    """One of its tasks was placed already."""
 
 
 @dataclass(slots=True)
--- a/stileloft/protocol/peers.py
+++ b/stileloft/protocol/peers.py
@@ -14,8 +14,8 @@
 
     served_ago_s: float
     """How long ago the state service last executed a request of its."""
-    machines: list[str]
-    """Machines that it has referred to the leader lately."""
+    machines: dict[str, tuple[int, int]]
+    """Machines that it has referred to the leader lately, with session and number of their newest report."""
 
 
 class PeerClient:
--- a/tests/rules.py
+++ b/tests/rules.py
@@ -7,6 +7,8 @@
 
 LIMITS = {"core": 48.0, "edge": 40.0}
 CANCEL_S = 30.0
+KNOWN_S = 75.0
+BEGUN_S = 240.0
 
 
 class Rules:
@@ -20,6 +22,11 @@
         self.cancelled_at: dict[str, float] = {}
         self.final_at: dict[str, float] = {}
         self.starts = 0
+        self.submitted_at: dict[str, float] = {}
+        self.begun_at: dict[str, float] = {}
+        self.unanswered: dict[str, float] = {}
+        """Since when no question about a job was answered."""
+        self.troubled_until = 0.0
 
     def job_of(self, task: str) -> dict[str, Any]:
         return self.world.jobs[task.rpartition("/")[0]]
@@ -29,6 +36,7 @@
 
     def started(self, task: str, machine: "Machine", now: float) -> None:
         self.starts += 1
+        self.begun_at.setdefault(task.rpartition("/")[0], now)
         other = self.where.get(task)
         if other is not None and other is not machine:
             self.break_("ran_twice", f"{task} is on {other.name} and starts on {machine.name}")
@@ -85,6 +93,37 @@
             self.final_at.setdefault(job, self.world.now)
         self.last[job] = phase
 
+    def asked(self, job: str) -> None:
+        self.unanswered.setdefault(job, self.world.now)
+
+    def answered(self, job: str) -> None:
+        self.unanswered.pop(job, None)
+
+    def check_known(self) -> None:
+        """To be called now and then: once all troubles are over, each accepted job's questions are answered."""
+        for job, since in self.unanswered.items():
+            if job in self.last and self.world.now - max(since, self.troubled_until) > KNOWN_S:
+                self.break_("forgotten", f"no question about {job} was answered since {since:.1f}")
+
+    def check_served(self) -> None:
+        """To be called at the end: what was served of each class, each team, and each class's largest jobs."""
+        groups: dict[str, list[str]] = {}
+        for job, body in self.world.jobs.items():
+            if job not in self.cancels and job in self.last:
+                groups.setdefault(f"class {body['lane']}", []).append(job)
+                groups.setdefault(f"team {body['crew']}", []).append(job)
+        for name in [name for name in groups if name.startswith("class ")]:
+            jobs = sorted(groups[name], key=lambda job: -self.world.jobs[job]["pieces"] * self.world.jobs[job]["vcpus"])
+            largest = groups[f"largest of {name}"] = jobs[: max(1, len(jobs) // 4)]
+            for job in largest:
+                waited = self.begun_at.get(job, self.world.now) - self.submitted_at[job]
+                if waited > BEGUN_S:
+                    self.break_("not_served", f"{job}, a large one of {name}, waited {waited:.0f} s")
+        for name, jobs in groups.items():
+            served = sum(1 for job in jobs if job in self.begun_at)
+            if served * 2 < len(jobs):
+                self.break_("not_served", f"{served} of {len(jobs)} of {name}")
+
     def check_cancelled(self) -> None:
         """To be called now and then: nothing of a cancelled job may still be on a machine."""
         for task, machine in self.where.items():
