An overtaken report is answered so that its worker drops the answer

Found on rereading: a report that was overtaken by the answer to a command was taken for a late copy, and its worker's lease renewed by an answer that we did not count; its end could then be believed too early. Such answers carry no valid token now. Old work that goes first stays within its part of the machines in one round too.

--- a/stileloft/coordination/dispatch.py
+++ b/stileloft/coordination/dispatch.py
@@ -164,8 +164,9 @@
         session, seq, before = machine.session, machine.seq, machine.heard_at
         machine = self.observe(report)
         if (machine.session, machine.seq) == (session, seq):
-            # A copy that comes late. Nobody waits for the answer, and it must show no sign of life.
-            return messages.orders(term.token, [])
+            # A copy that comes late must show no sign of life. If it is the report itself, overtaken by the
+            # answer to a command, its worker is to drop this answer: it must renew no lease that we don't count.
+            return messages.orders(0, [])
         if machine.session != session:
             machine.reached_at = float("-inf")  # its tasks were lost though we answered: ask whether it hears us
         elif now - before < UNANSWERED_S:
--- a/stileloft/coordination/placement.py
+++ b/stileloft/coordination/placement.py
@@ -77,8 +77,8 @@
     aged = [job for job in snapshot.waiting if job.aged]
     for job in sorted(aged, key=lambda job: (job.begun, job.submitted, job.spec.id)):
         job.first = room > 0 or not job.begun
-        if not job.begun and not job.spec.is_gang:
-            job.tasks = job.tasks[:1]
+        if job.first and not job.spec.is_gang:
+            job.tasks = job.tasks[:max(1, int(room / job.spec.cpus)) if job.begun and job.spec.cpus else 1]
         room -= (job.count if job.begun else 1) * job.spec.cpus
 
 
