Trials only on machines where enough could become free; fewer looks at unchanged jobs

Change: a round keeps the machines in order of what their trials can free at the most, so a job tries those only where that is enough; machines where something was stopped in the round are always tried. Counts are looked at four times a second at most. The decisions are the same: the plain model's rounds agree.

--- a/stileloft/bookkeeping/model.py
+++ b/stileloft/bookkeeping/model.py
@@ -94,6 +94,8 @@
         """One of its tasks has run."""
         self.counts_stored = (0, 0)
         self.counts_at = 0.0
+        self.looked_at = 0.0
+        """When it was last weighed whether something is to be written of it."""
         self.errors: set[str] = set()
         self.not_before = 0.0
         self.stopped_for_others = 0
--- a/stileloft/coordination/ledger.py
+++ b/stileloft/coordination/ledger.py
@@ -25,6 +25,8 @@
 IN_FLIGHT = 3
 # The state that users see may lag by 3 s.
 COUNTS_S = 1.2
+# How often a job is looked at of which nothing but the counts can have changed.
+LOOK_S = 0.25
 # Completed tasks of a job are gathered for this long into one change; their room is free at once.
 GATHER_S = 1.2
 
@@ -127,7 +129,9 @@
             now = term.clock.seconds()
             waiting = []
             for job in term.dirty_jobs():
-                if job.gathering_since is not None and not job.pressing and now < job.gathering_since + GATHER_S:
+                if not job.dirty and now < job.looked_at + LOOK_S:
+                    self.later(job.looked_at + LOOK_S - now)  # only its counts may have changed
+                elif job.gathering_since is not None and not job.pressing and now < job.gathering_since + GATHER_S:
                     self.later(job.gathering_since + GATHER_S - now)
                 elif not job.busy:
                     waiting.append(job)
@@ -141,6 +145,7 @@
                     if ops >= limit - 3:
                         rest.append(job)
                         continue
+                    job.looked_at = now
                     entry = self.entry(job, limit - ops)
                     if entry is None:
                         job.dirty = any(chunk.dirty for chunk in job.chunks.values())
@@ -180,9 +185,9 @@
     def later(self, seconds: float) -> None:
         if self._timer is not None and self._timer.active():
             # What can wait must not hold back what can't.
-            if self._timer.getTime() > self.term.clock.seconds() + seconds:
-                self._timer.reset(seconds)
-            return
+            if self._timer.getTime() <= self.term.clock.seconds() + seconds:
+                return
+            self._timer.cancel()  # moving it would search all timers, of which a large fleet has thousands
         self._timer = self.term.clock.callLater(seconds, self.flush)
 
     def _counts_later(self, job: Job) -> None:
--- a/stileloft/coordination/placement.py
+++ b/stileloft/coordination/placement.py
@@ -156,6 +156,7 @@
     """Machines on which something has room."""
     least: tuple[float, float]
     """The least processors and memory that any waiting task takes."""
+    spares: preemption.Spares
     saving: set[str] = field(default_factory=set)
     """Teams at their limit, of which an old job is to have what becomes free."""
 
@@ -276,6 +277,7 @@
     machine = eviction.machine
     if eviction.victims:
         snapshot.own(machine).leave(eviction.victims)
+        about.spares.stopped(machine)
     for lower in [n for n in about.reserved.get(machine, []) if n.rank < spec.rank]:
         # They lose the nomination and return to waiting.
         about.reserved[machine].remove(lower)
@@ -335,7 +337,7 @@
             hold_room(job, snapshot)
             avoid = job.avoid | {name for name, hold in snapshot.holds.items() if hold.owner not in ("", spec.id)}
             trials = preemption.Trials(spec, job.zones, avoid, snapshot.nodes, about.reserved, snapshot.teams,
-                                       snapshot.usage)
+                                       snapshot.usage, about.spares)
         if len(decision.evictions) >= max_evictions:
             break
         eviction = trials.best()
@@ -363,7 +365,7 @@
                   any(job.spec.cpus > smallest for job in snapshot.waiting),
                   [node.id for node in nodes.values() if node.up and node.ready],
                   (min((job.spec.cpus for job in snapshot.waiting), default=0.0),
-                   min((job.spec.memory_gb for job in snapshot.waiting), default=0.0)))
+                   min((job.spec.memory_gb for job in snapshot.waiting), default=0.0)), preemption.Spares(nodes))
     for job in sorted(snapshot.waiting, key=lambda job: order_key(job, snapshot, snapshot.usage)):
         about.narrow()
         if not job.spec.is_gang:
--- a/stileloft/coordination/preemption.py
+++ b/stileloft/coordination/preemption.py
@@ -6,6 +6,7 @@
 machines during the trial, as the proposal requires.
 """
 
+import bisect
 import heapq
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
@@ -78,7 +79,7 @@
     # Work that is borrowed may go at the task's own rank too.
     owed = within_guarantee(spec, teams.get(spec.team), usage.get(spec.team, Usage()))
     most = node.spare(spec.rank + 1 if owed else spec.rank)
-    if any(want > room + EPSILON for want, room in zip(needed, most, strict=True)):
+    if needed[0] > most[0] + EPSILON or needed[1] > most[1] + EPSILON or needed[2] > most[2] + EPSILON:
         return None
     cpus, gpus, memory_gb = node.cpus, node.gpus, node.memory_gb
 
@@ -124,11 +125,38 @@
 Order = tuple[float, float, int, int, str]
 
 
+class Spares:
+    """Machines by what their trials can free at the most, shared by all jobs of a round.
+
+    With hundreds of machines and dozens of waiting jobs, nearly all trials would end at once for want of
+    room. Tasks that are placed during the round only take from it; what is stopped in it adds to it, so
+    machines where something was stopped are looked at by all later jobs.
+    """
+
+    def __init__(self, nodes: Mapping[str, Node]) -> None:
+        self._nodes = nodes
+        self._by_rank: dict[int, tuple[list[float], list[str]]] = {}
+        self._stopped: dict[str, None] = {}
+
+    def stopped(self, machine: str) -> None:
+        self._stopped[machine] = None
+
+    def likely(self, cpus: float, below: int) -> list[Node]:
+        """Machines that may have so many processors once all tasks below a rank are gone, and all others left out."""
+        found = self._by_rank.get(below)
+        if found is None:
+            most = sorted((node.spare(below)[0], node.id) for node in self._nodes.values() if node.up and node.ready)
+            found = self._by_rank[below] = [room for room, _ in most], [name for _, name in most]
+        names = found[1][bisect.bisect_left(found[0], cpus - EPSILON):]
+        return [self._nodes[name] for name in dict.fromkeys([*names, *self._stopped])]
+
+
 class Trials:
     """The trials for a job's tasks, which are alike: a machine is tried again only when it has changed."""
 
     def __init__(self, spec: JobSpec, zones: dict[str, int], avoid: frozenset[str], nodes: Mapping[str, Node],
-                 reserved: Mapping[str, list[Nomination]], teams: dict[str, Team], usage: dict[str, Usage]) -> None:
+                 reserved: Mapping[str, list[Nomination]], teams: dict[str, Team], usage: dict[str, Usage],
+                 spares: Spares) -> None:
         self.spec = spec
         self.zones = zones
         self.avoid = avoid
@@ -136,10 +164,11 @@
         self.reserved = reserved
         self.teams = teams
         self.usage = usage
+        self.spares = spares
         self._heap: list[tuple[Order, str, list[Running]]] = []
-        self._facts: object = None
+        self._facts: tuple[bool, list[bool]] | None = None
 
-    def _usage_facts(self) -> object:
+    def _usage_facts(self) -> tuple[bool, list[bool]]:
         """What the candidates depend on beside the machine: who is owed, and who uses more than it is owed."""
         spec = self.spec
         return (within_guarantee(spec, self.teams.get(spec.team), self.usage.get(spec.team, Usage())),
@@ -160,7 +189,7 @@
         if facts != self._facts:
             self._facts = facts
             self._heap = []
-            for node in self.nodes.values():
+            for node in self.spares.likely(spec.cpus, spec.rank + 1 if facts[0] else spec.rank):
                 if node.up and node.ready and node.id not in self.avoid and allowed(spec, node):
                     self._try(node)
         while self._heap:
@@ -183,4 +212,5 @@
     reserved: dict[str, list[Nomination]] = {}
     for nomination in nominations:
         reserved.setdefault(nomination.machine, []).append(nomination)
-    return Trials(spec, zones, avoid, {node.id: node for node in nodes}, reserved, teams, usage).best()
+    by_name = {node.id: node for node in nodes}
+    return Trials(spec, zones, avoid, by_name, reserved, teams, usage, Spares(by_name)).best()
