Lost tasks of a silent machine run again; sockets, rentals and claims bounded by need

Connections to workers are closed with their answer beyond 0.7 of the limit, those of users beyond 0.85; reports and the state service keep theirs. The backlog is the limit of sockets. A test at 942 machines checks it, and that it objects. - Rentals lately carried out were one record, which a fleet's rentals bring over 4 KiB, so that a successor would know of none: now one for each, written over when it is no longer needed. The stand-in refuses values over the limit. - Claims of a new leader: an eighth of the sockets under way at once, machines with tasks first. - Machines referred to the leader are remembered by time rather than by number.

The stand-ins got processes that stand still while their clocks run on, refused peers and restarts within a fraction of a second; a task started again after it was done says so at once, as the protocol has it.

--- a/stileloft/bookkeeping/records.py
+++ b/stileloft/bookkeeping/records.py
@@ -6,7 +6,7 @@
     final/<job>          how a job ended; kept for good
     settings             the operators' own settings
     images/<machine>     images that a machine is likely to have
-    rented               machines rented lately that the cloud's list may not show yet
+    rented/<slot>        a rental carried out lately, whose machines the cloud's list may not show yet
 
 Nothing is stored for a task that was never placed, so a job of 100,000 tasks is
 one record until its tasks start.
@@ -16,7 +16,7 @@
 
 LEADER = "leader"
 SETTINGS = "settings"
-RENTED = "rented"
+RENTED = "rented/"
 IMAGES = "images/"
 ACTIVE = "active/"
 TASKS = "tasks/"
@@ -31,6 +31,10 @@
     return max(8, min(256, int(value_kb * 1024 / 2 / BYTES_PER_TASK)))
 
 
+def rented_key(slot: int) -> str:
+    return f"{RENTED}{slot:04d}"
+
+
 def active_key(job: str) -> str:
     return ACTIVE + job
 
--- a/stileloft/coordination/dispatch.py
+++ b/stileloft/coordination/dispatch.py
@@ -22,6 +22,8 @@
 # Repeats and retries, as parts of the report interval.
 REPEAT_STOP = 1.0
 RETRY = 0.4
+# Claims under way at once, as a part of the sockets: a new leader claims hundreds of machines, and some hang.
+CLAIMS_PART = 0.125
 # Attempts that were stopped are forgotten after this many leases.
 FORGET_LEASES = 4.0
 
@@ -30,6 +32,9 @@
     def __init__(self, term: "Term") -> None:
         self.term = term
         self.report_s = term.settings.workers.report_s
+        self.claims = 0
+        """Claims under way. Those beyond the most at once are made in a later check."""
+        self.most_claims = int(CLAIMS_PART * term.settings.quota.max_sockets)
 
     # -- reports --------------------------------------------------------------
 
@@ -90,15 +95,13 @@
                 self.forget_later(machine, task.task, task.attempt, task.why == "done")
             else:
                 strays[task.task] = self._stray(key[0], task)
-        for task_id in machine.strays.keys() - strays.keys():
-            term.stray_tasks.pop(task_id, None)
+        if machine.strays.keys() - strays.keys():
             term.poke()
         if strays.keys() != machine.strays.keys():
             machine.view = None
         for task_id in strays:
             if task_id not in machine.strays:
                 log.info("task %s on %s is not ours to run there: stopping it", task_id, machine.id)
-            term.stray_tasks[task_id] = machine.id
         machine.strays = strays
         for placement in unseen.values():
             placement.seen = None
@@ -251,13 +254,17 @@
         known = machine.trusted and (self.reaches(machine, now) or not machine.reported)
         if not commands and not starts and (known or not self._worth_claiming(machine)):
             return  # exited tasks can wait for the answer to the next report
+        claim = not commands and not starts
+        if claim and self.claims >= self.most_claims:
+            return
         commands += self._forgets(machine)
         commands += [messages.start(p.task, p.attempt) for p in starts]
         machine.sending = True
         session = machine.session or 1
         for placement in starts:
             placement.sent_session = session
-        defer.ensureDeferred(self._send(machine, session, commands, starts))
+        self.claims += claim
+        defer.ensureDeferred(self._send(machine, session, commands, starts, claim))
 
     @staticmethod
     def _worth_claiming(machine: Machine) -> bool:
@@ -265,10 +272,13 @@
         return machine.reported or bool(machine.placements) or machine.listed_state == "running"
 
     async def _send(self, machine: Machine, session: int, commands: list[dict[str, Any]],
-                    starts: list[Placement]) -> None:
+                    starts: list[Placement], claim: bool) -> None:
         term = self.term
         try:
-            executed, report = await term.workers.command(machine.address, term.token, session, commands)
+            try:
+                executed, report = await term.workers.command(machine.address, term.token, session, commands)
+            finally:
+                self.claims -= claim
         except (NotDelivered, Uncertain) as error:
             machine.sending = False
             if isinstance(error, Uncertain) and starts:
--- a/stileloft/coordination/fleet.py
+++ b/stileloft/coordination/fleet.py
@@ -61,8 +61,10 @@
         self.returning: dict[str, Machine] = {}
         self.refused: dict[Offer, float] = {}
         self.renting: dict[str, tuple[Offer, int]] = {}
-        self.recent: dict[str, list[Any]] = {}
-        """Machines rented lately, as in the store's `rented` record."""
+        self.listed_s = 4 * self.lag_s + 5.0
+        """After this long a rented machine is surely in the cloud's list."""
+        self.rented_slots: dict[int, float] = {}
+        """The store's records of rentals, and the time of day until which each may be needed."""
         self._serial = 0
         self._asking = False
         self._not_deaf_until = 0.0
@@ -242,10 +244,7 @@
             del self.gone[next(iter(self.gone))]
         for placement in list(machine.placements.values()):
             term.end(placement, "its machine is gone")
-        for task in machine.strays:
-            term.stray_tasks.pop(task, None)
         term.machines.pop(machine.id, None)
-        self.recent.pop(machine.id, None)
         if machine.images:
             self._images_dropped.add(machine.id)
 
@@ -298,25 +297,30 @@
                 if not machine.reported:
                     machine.type, machine.zone, machine.spot = name, zone, spot
                 machine.rented_at = sent_at
-                self.recent[machine_id] = [name, zone, 1 if spot else 0, round(term.wall(), 1)]
         if machines:
             log.info("rented %d of %d %s in %s%s", len(machines), count, name, zone, ", spot" if spot else "")
-            await self._store_recent()
+            await self._store_rental(offer, machines)
         else:
             log.info("no %s to be had in %s%s", name, zone, ", spot" if spot else "")
         term.poke()
 
-    async def _store_recent(self) -> None:
-        """Tells a successor of machines that the cloud's list may not show yet."""
+    async def _store_rental(self, offer: Offer, machines: list[str]) -> None:
+        """Tells a successor of machines that the cloud's list may not show yet.
+
+        A record for each rental, written over when it is no longer needed: all of a large fleet's in one
+        would be over the store's limit for a value.
+        """
         term = self.term
-        oldest = term.wall() - 4 * self.lag_s - 5.0
-        self.recent = {m: entry for m, entry in self.recent.items() if entry[3] > oldest}
+        now = term.wall()
         if not term.writes.take(1.0):
             return
+        slot = next(n for n in range(len(self.rented_slots) + 1) if self.rented_slots.get(n, 0.0) < now)
+        self.rented_slots[slot] = now + self.listed_s
+        value = {"t": round(now, 1), "o": list(offer), "m": machines}
         try:
-            await term.state.commit({records.LEADER: term.token}, {records.RENTED: self.recent}, [])
+            await term.state.commit({records.LEADER: term.token}, {records.rented_key(slot): value}, [])
         except (Conflict, Unavailable, Unknown) as error:
-            log.debug("recording rentals: %s", error)
+            log.debug("recording a rental: %s", error)
 
     # -- images ---------------------------------------------------------------------
 
@@ -363,16 +367,15 @@
                 machine.images_stored = len(machine.images) == len(puts[records.IMAGES + machine.id])
             self._images_dropped -= set(dropped)
 
-    def load_recent(self, value: dict[str, Any]) -> None:
+    def load_rental(self, key: str, value: dict[str, Any]) -> None:
+        """Takes in what a former leader rented, unless the cloud's list shows it by now."""
         term = self.term
         wall, now = term.wall(), term.clock.seconds()
-        for machine_id, entry in value.items():
-            name, zone, spot, rented = entry
-            if wall - rented > 4 * self.lag_s + 5.0:
-                continue
-            self.recent[machine_id] = entry
+        rented = value["t"]
+        self.rented_slots[int(key[len(records.RENTED):])] = rented + self.listed_s
+        if wall > rented + self.listed_s:
+            return
+        for machine_id in value["m"]:
             machine = term.machine(machine_id)
-            machine.type, machine.zone, machine.spot = name, zone, bool(spot)
+            machine.type, machine.zone, machine.spot = value["o"]
             machine.rented_at = now - max(0.0, wall - rented)
-
-
--- a/stileloft/coordination/leader.py
+++ b/stileloft/coordination/leader.py
@@ -116,7 +116,6 @@
         self.jobs: dict[str, Job] = {}
         self.machines: dict[str, Machine] = {}
         self.dirty: dict[str, None] = {}
-        self.stray_tasks: dict[str, str] = {}
         self.nominations: dict[tuple[str, int], Nomination] = {}
         self.avoided: dict[tuple[str, str], float] = {}
         self.ratios: dict[str, float] = {}
@@ -189,7 +188,8 @@
             return
         self.loaded = True
         with self.lock:
-            for machine in self.machines.values():
+            # Where tasks are comes first: their ends and what is to be stopped wait for it.
+            for machine in sorted(self.machines.values(), key=lambda machine: not machine.placements):
                 self.dispatch.send(machine)
         log.info("took over %d jobs and %d machines in %.2f s", len(self.jobs), len(self.machines),
                  self.clock.seconds() - self.started_at)
@@ -202,7 +202,7 @@
         # The watch continues from the first read, so that nothing is missed in between.
         active, revision = await self.state.scan(records.ACTIVE)
         chunks, _ = await self.state.scan(records.TASKS)
-        rented = await self.state.get(records.RENTED)
+        rented, _ = await self.state.scan(records.RENTED)
         images, _ = await self.state.scan(records.IMAGES)
         # A chunk that was read after its job's record may be newer: its version guards it.
         with self.lock:
@@ -228,8 +228,8 @@
                     self._stop_all(job)
                     if not job.placed:
                         self._drop_chunks(job)
-            if rented is not None:
-                self.fleet.load_recent(rented[0])
+            for key, value, _ in rented:
+                self.fleet.load_rental(key, value)
             for key, value, _ in images:
                 self.fleet.load_images(key[len(records.IMAGES):], value)
             self.revision = revision
@@ -303,6 +303,14 @@
             self.machines[machine_id] = machine
         return machine
 
+    def stray_tasks(self) -> set[str]:
+        """Tasks that are on a machine where they are not to be: nowhere are they started meanwhile.
+
+        Asked of the machines each time. Kept beside them, an entry outlived its machine's session once,
+        and its task was never started again.
+        """
+        return {task for machine in self.machines.values() if machine.strays for task in machine.strays}
+
     def attach(self, placement: Placement) -> None:
         if placement.state != ENDED:
             machine = self.machine(placement.machine)
@@ -640,6 +648,7 @@
                 copy.settle()
                 copies[copy.id] = copy
         waiting = []
+        stray_tasks = self.stray_tasks()
         for job in self.jobs.values():
             used = usage.setdefault(job.spec.team, Usage())
             used.cpus += job.spec.cpus * job.placed
@@ -648,8 +657,8 @@
                 continue
             count = job.waiting
             tasks = job.free_tasks(count if job.spec.is_gang else TASKS_OFFERED if not job.errors else 1)
-            if self.stray_tasks:
-                tasks = [i for i in tasks if f"{job.id}/{i}" not in self.stray_tasks]
+            if stray_tasks:
+                tasks = [i for i in tasks if f"{job.id}/{i}" not in stray_tasks]
             avoid = frozenset(m for (j, m), until in self.avoided.items() if j == job.id and until > now)
             waiting.append(Waiting(job.spec, job.submitted, count, tasks, dict(job.zones),
                                    self.estimate(job.spec), self.wait_goals.get(job.spec.job_class), avoid,
@@ -737,8 +746,9 @@
                     if stray.team in usage:
                         usage[stray.team].cpus += stray.cpus
                         usage[stray.team].gpus += stray.gpus
+            stray_tasks = self.stray_tasks()
             for key, machine_id in decision.placed:
-                self._place(key, machine_id, usage, key[0] in decision.first)
+                self._place(key, machine_id, usage, stray_tasks, key[0] in decision.first)
             for job_id in dict.fromkeys(key[0] for key, _ in decision.placed):
                 self._check_gang(job_id)
             for key, eviction in decision.evictions:
@@ -760,11 +770,12 @@
         if self.dirty:
             self.ledger.flush()
 
-    def _place(self, key: tuple[str, int], machine_id: str, usage: dict[str, Usage], shielded: bool) -> None:
+    def _place(self, key: tuple[str, int], machine_id: str, usage: dict[str, Usage], stray_tasks: set[str],
+               shielded: bool) -> None:
         job = self.jobs.get(key[0])
         machine = self.machines.get(machine_id)
         if (job is None or machine is None or job.over or job.reload or machine.draining or machine.releasing
-                or not machine.trusted or f"{key[0]}/{key[1]}" in self.stray_tasks):
+                or not machine.trusted or f"{key[0]}/{key[1]}" in stray_tasks):
             return
         index = key[1]
         chunk = job.chunks.get(index // self.chunk_size)
--- a/stileloft/coordination/node.py
+++ b/stileloft/coordination/node.py
@@ -29,11 +29,12 @@
 from stileloft.protocol.messages import MachineType, Report
 from stileloft.protocol.peers import PeerClient, PeerView
 from stileloft.protocol.state import Budget, Compacted, Conflict, StateClient, Unavailable, Unknown
-from stileloft.protocol.users import PublicResources
+from stileloft.protocol.users import REPORT_PATH, PublicResources
 from stileloft.protocol.workers import WorkerClient
 from stileloft.settings import Settings, Workers, split_address
 from stileloft.transport.client import Client
 from stileloft.transport.server import Answer, Router, make_site, retry_later
+from stileloft.transport.sockets import Sockets
 
 log = logging.getLogger(__name__)
 
@@ -46,7 +47,9 @@
 SERVED_S = 2.0
 # Machines count as seen by a node for this many report intervals.
 VIEW_REPORTS = 4.0
-REFERRED_KEPT = 1000
+# For so many of the workers' leases it is known which report of a machine was the newest, so that a late
+# copy is told from it.
+REFERRED_LEASES = 8.0
 
 # Parts of the state service's limits; together they stay below it.
 READS_SHARE = 0.5
@@ -74,10 +77,11 @@
         deployment = settings.deployment
         self.teams = {team.name: team for team in deployment.teams}
         self.types: dict[str, MachineType] = {}
+        self.sockets = Sockets(reactor, lambda: len(reactor.getReaders()), deployment.quota.max_sockets)
         wire = connect(reactor, messages.encode, messages.decode, b"application/cbor",
                       per_host=8, connect_s=2.0, idle_s=60.0)
         commands = connect(reactor, messages.encode, messages.decode, b"application/cbor",
-                          per_host=1, connect_s=1.0, idle_s=60.0)
+                          per_host=1, connect_s=1.0, idle_s=60.0, keep=self.sockets.keep_commands)
         self.state = StateClient(reactor, wire, settings.external.state, STATE_TIMEOUT_S)
         peers = connect(reactor, orjson.dumps, orjson.loads, b"application/json", per_host=1, connect_s=PEER_TIMEOUT_S,
                         idle_s=60.0)
@@ -117,7 +121,9 @@
 
     def serve(self) -> None:
         public = PublicResources(self.admission, self.report, self.healthy, NotDecidable, Impossible)
-        self._listen(self.settings.listen, Router(public.match, messages.encode, messages.decode, "application/cbor"))
+        self._listen(self.settings.listen, Router(
+            public.match, messages.encode, messages.decode, "application/cbor",
+            keep=lambda path: path == REPORT_PATH or self.sockets.keep_users()))
         admin = AdminResources(self)
         self._listen(self.settings.peer_bind, Router(admin.match, orjson.dumps, _orjson_loads, "application/json"))
         log.info("%s serving on %s, process %d", self.settings.member, self.settings.listen, os.getpid())
@@ -125,7 +131,9 @@
     def _listen(self, address: str, router: Router) -> None:
         host, port = split_address(address)
         idle_s = 4 * self.settings.deployment.workers.lease_s
-        self.reactor.listenTCP(port, make_site(router, idle_s), interface=host, backlog=128)
+        # All workers and users may come at once, to a new leader or after a restart.
+        backlog = self.settings.deployment.quota.max_sockets
+        self.reactor.listenTCP(port, make_site(router, idle_s), interface=host, backlog=backlog)
 
     async def _catalog_loop(self) -> None:
         """Machine types, with the prices of the moment."""
@@ -227,10 +235,13 @@
         newest = (report.session, report.seq)
         if newest <= self._referred.get(report.machine, (0.0, (0, 0)))[1]:
             return
+        now = self.reactor.seconds()
         self._referred.pop(report.machine, None)
-        self._referred[report.machine] = self.reactor.seconds(), newest
-        if len(self._referred) > REFERRED_KEPT:
-            del self._referred[next(iter(self._referred))]
+        self._referred[report.machine] = now, newest
+        # Kept as long as a late copy may come, however many machines there are; the oldest come first.
+        oldest = next(iter(self._referred))
+        if now - self._referred[oldest][0] > REFERRED_LEASES * self.settings.deployment.workers.lease_s:
+            del self._referred[oldest]
 
     # -- administration ---------------------------------------------------------
 
--- a/stileloft/protocol/users.py
+++ b/stileloft/protocol/users.py
@@ -10,6 +10,7 @@
 
 log = logging.getLogger(__name__)
 
+REPORT_PATH = "/checkin"
 JOB_PATH = re.compile(r"^/v2/runs/([^/]+)$")
 CANCEL_PATH = re.compile(r"^/v2/runs/([^/]+)/cancel$")
 VALID_ID = re.compile(JOB_ID)
@@ -34,7 +35,7 @@
         self._not_decidable = not_decidable
         self._impossible = impossible
         self._fixed: dict[str, dict[str, Handler]] = {
-            "/checkin": {"POST": self.checkin},
+            REPORT_PATH: {"POST": self.checkin},
             "/healthz": {"GET": self.health},
             "/v2/runs": {"POST": self.submit},
         }
--- a/stileloft/transport/client.py
+++ b/stileloft/transport/client.py
@@ -75,6 +75,7 @@
         per_host: int,
         connect_s: float,
         idle_s: float,
+        keep: Callable[[], bool] = lambda: True,
     ) -> None:
         self._clock: Clock = reactor
         self._encode = encode
@@ -86,12 +87,16 @@
         pool.cachedConnectionTimeout = round(idle_s)
         # A repeat must be the caller's decision: it knows whether one is harmless.
         pool.retryAutomatically = False
+        self._pool = pool
+        self._keep = keep
         self._agent = Agent.usingEndpointFactory(reactor, _Addresses(reactor, connect_s), pool=pool)
 
     async def request(self, method: str, address: str, path: str, body: Any, timeout_s: float) -> Reply:
         url = f"http://{address}{path}".encode()
         producer: Any = _Body(self._encode(body)) if body is not None else None
         headers = self._headers if producer is not None else self._plain
+        # Decided for each request: a connection that is not kept is closed with its answer.
+        self._pool.persistent = self._keep()
         sent = self._agent.request(method.encode(), url, headers, producer)
         timer = self._clock.callLater(timeout_s, sent.cancel)
         try:
--- a/stileloft/transport/server.py
+++ b/stileloft/transport/server.py
@@ -69,12 +69,14 @@
         encode: Callable[[Any], bytes],
         decode: Callable[[bytes], Any],
         media: str,
+        keep: Callable[[str], bool] = lambda path: True,
     ) -> None:
         super().__init__()
         self._match = match
         self._encode = encode
         self._decode = decode
         self._media = media
+        self._keep = keep
 
     def render(self, request: server.Request) -> int:
         found = self._match(request.path.decode("utf-8", "replace"))
@@ -136,6 +138,10 @@
         request.setHeader(b"content-length", str(len(data)))
         for name, value in answer.headers.items():
             request.setHeader(name.encode(), value.encode())
+        channel: Any = request.channel
+        if channel is not None and not self._keep(request.path.decode("utf-8", "replace")):
+            request.setHeader(b"connection", b"close")
+            channel.persistent = False
         if data and request.method != b"HEAD":
             request.write(data)
         request.finish()
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -4,12 +4,15 @@
 seeded source of randomness, so that every run of a test is the same.
 """
 
+import bisect
+import json
+import math
 import random
 from collections.abc import Callable
 from typing import Any
 
 import msgspec
-from twisted.internet import defer, task
+from twisted.internet import base, defer, task
 
 from stileloft.bookkeeping.records import split_task
 from stileloft.coordination.node import Node
@@ -150,6 +153,7 @@
     def commit(self, body: Any) -> Reply:
         assert len(body["writes"]) <= 12 and len(body["guards"]) <= 48, "over the limits of a transaction"
         for write in body["writes"]:
+            assert len(json.dumps(write.get("v"))) <= 4 * 1024, f"the value of {write.get('set')} is over the limit"
             if write.get("hold") is not None and write["hold"] not in self.leases:
                 return Reply(400, {"error": "no such lease"})
         failed = [g["path"] for g in body["guards"] if self.items.get(g["path"], (0, 0))[1] != g["stamp"]]
@@ -237,8 +241,9 @@
         if self.gone or self.hung or not self.up or self.reporting:
             return
         self.reporting = True
-        sent, session = self.world.now, self.session
-        waiting = self.world.send(self.name, self.target, lambda: self.world.deliver_report(self.target, body))
+        sent, session, target = self.world.now, self.session, self.target
+        waiting = self.world.send(self.name, target,
+                                  lambda: self.world.to_node(target, lambda: self.world.deliver_report(target, body)))
         body = messages.decode(messages.encode(self.report()))
         timer = self.world.clock.callLater(4.0, waiting.cancel)
 
@@ -323,6 +328,10 @@
             return
         job = self.world.jobs[split_task(name)[0]]
         self.images.add(job["bundle"])
+        if name in self.world.rules.done:  # its result is kept
+            state.update(phase="exited", cause="done")
+            self.send_report()
+            return
         state["phase"] = "running"
         self.world.rules.started(name, self, self.world.now)
         self.send_report()
@@ -425,8 +434,9 @@
 class Connection:
     """What a node has in place of the pooled client; bodies go through the real encoding."""
 
-    def __init__(self, world: "World", name: str, process: int) -> None:
-        self.world, self.name, self.process = world, name, process
+    def __init__(self, world: "World", name: str, process: int, idle_s: float = 60.0,
+                 keep: Callable[[], bool] = lambda: True, **_: Any) -> None:
+        self.world, self.name, self.process, self.idle_s, self.keep = world, name, process, idle_s, keep
 
     async def request(self, method: str, address: str, path: str, body: Any, timeout_s: float) -> Reply:
         world = self.world
@@ -444,16 +454,19 @@
                 return world.cloud.handle(self.name, method, path, sent)
             if target in world.names:
                 peer = world.nodes[target]
-                if peer is None:
-                    raise Refused("no process")
-                return Reply(200, msgspec.to_builtins(peer.view()))
+                if peer is None or world.now < world.peers_refuse:
+                    raise Refused("no process, or a filter")
+                return world.to_node(target, lambda: Reply(200, msgspec.to_builtins(peer.view())))
             machine = world.every_machine[target]
             if machine.gone or not machine.up:
                 raise Unanswered("silence")
             return machine.command(sent)
 
+        keep = self.keep()
+        connections = world.connections[self.name]
+        connections[address] = math.inf
         waiting = world.send(self.name, target, work)
-        timer = world.clock.callLater(timeout_s, waiting.cancel)
+        timer = world.clock.callLater(timeout_s, world.awake, self.name, waiting.cancel)
         try:
             reply = await waiting
         except (Refused, Unanswered):
@@ -463,12 +476,33 @@
         finally:
             if timer.active():
                 timer.cancel()
+            connections[address] = world.now + self.idle_s if keep else 0.0
         if world.processes[self.name] != self.process:
             await defer.Deferred()
         body_back = messages.decode(messages.encode(reply.body)) if reply.body is not None else None
         return Reply(reply.status, body_back)
 
 
+class Clock(task.Clock):
+    """The same, without sorting all timers at each step and for each new one: a large fleet has thousands."""
+
+    def _sort(self, _: Any = None) -> None:
+        self.calls.sort(key=base.DelayedCall.getTime)
+
+    def callLater(self, delay: float, callable: Callable[..., Any], *args: Any, **kw: Any) -> Any:
+        call = base.DelayedCall(self.seconds() + delay, callable, args, kw, lambda call: None, self._sort, self.seconds)
+        bisect.insort(self.calls, call, key=base.DelayedCall.getTime)
+        return call
+
+    def advance(self, amount: float) -> None:
+        self.rightNow += amount
+        while self.calls and self.calls[0].getTime() <= self.rightNow:
+            call = self.calls.pop(0)
+            if not call.cancelled:
+                call.called = 1
+                call.func(*call.args, **call.kw)
+
+
 class Process:
     """A node with clocks and timers that stop when the process is killed."""
 
@@ -486,7 +520,11 @@
 
     def _call(self, function: Callable[..., Any], *arguments: Any) -> None:
         if self.alive():
-            function(*arguments)
+            self.world.awake(self.name, function, *arguments)
+
+    def getReaders(self) -> list[None]:
+        """One for each open connection, as the real reactor has one for each socket."""
+        return [None] * self.world.sockets(self.name)
 
 
 class World:
@@ -494,7 +532,7 @@
 
     def __init__(self, seed: int, capacity: int = 3, loss: float = 0.002) -> None:
         self.random = random.Random(seed)
-        self.clock = task.Clock()
+        self.clock = Clock()
         self.loss = loss
         self.names = ["node-0", "node-1", "node-2"]
         self.jobs: dict[str, dict[str, Any]] = {}
@@ -505,6 +543,11 @@
         self.cuts: dict[frozenset[str], tuple[float, bool]] = {}
         self.deaf: dict[str, float] = {}
         """Hosts to which nothing comes through until then, while what they send arrives."""
+        self.frozen: dict[str, float] = {}
+        self.connections: dict[str, dict[str, float]] = {name: {} for name in self.names}
+        """Connections that each node has made, and until when they are kept."""
+        self.peers_refuse = 0.0
+        """Until when controllers refuse each other's connections."""
         self.copies = 0.0
         """The part of the reports and requests of which a copy comes late."""
         self.held: list[tuple[frozenset[str], Callable[[], None]]] = []
@@ -541,22 +584,64 @@
         number = self.processes[name]
         process = Process(self, name, number)
         node = Node(process, parse(self.settings(name)), lambda: self.now + 1000.0,
-                    lambda *_, **__: Connection(self, name, number))
+                    lambda *_, **options: Connection(self, name, number, **options))
         node.in_thread = lambda function, *arguments: defer.maybeDeferred(function, *arguments)  # type: ignore
         node.nonce = f"{name}-{number}"
         node.election._nonce = node.nonce
         self.nodes[name] = node
         node.begin()
 
+    def sockets(self, name: str) -> int:
+        """Connections that a node has open: those of the workers that report to it, and its own."""
+        made = self.connections[name]
+        for address in [address for address, until in made.items() if until < self.now]:
+            del made[address]
+        return len(made) + sum(1 for m in self.cloud.machines.values() if m.up and m.target == name)
+
     def kill(self, name: str, back_after: float | None = 5.0) -> None:
         self.processes[name] += 1
+        self.frozen.pop(name, None)
+        self.connections[name] = {}
         self.nodes[name] = None
         if back_after is not None:
             self.clock.callLater(back_after, self.start, name)
 
+    def freeze(self, name: str, seconds: float) -> None:
+        """The process stands still while its clocks run on; then all that was due meanwhile comes at once."""
+        self.frozen[name] = self.now + seconds
+
+    def awake(self, name: str, function: Callable[..., Any], *arguments: Any) -> None:
+        """Calls a function of a process, or has it called when the process goes on."""
+        number = self.processes[name]
+        wait = self.frozen.get(name, 0.0) - self.now
+        if wait <= 0:
+            function(*arguments)
+            return
+
+        def later() -> None:
+            if self.processes[name] == number:
+                self.awake(name, function, *arguments)
+
+        self.clock.callLater(wait + self.random.uniform(0.0, 0.005), later)
+
     def leader(self) -> str | None:
         return next((n for n, node in self.nodes.items() if node is not None and node.election.confirmed()), None)
 
+    def to_node(self, name: str, work: Callable[[], Any]) -> Any:
+        """A request that came to a process: a frozen one takes it up when it goes on."""
+        if self.frozen.get(name, 0.0) <= self.now:
+            return work()
+        answered: defer.Deferred = defer.Deferred()
+
+        def later() -> None:
+            try:
+                answered.callback(work())
+            except (Refused, Unanswered):
+                pass  # the connection was reset: nobody waits any more
+
+        self.awake(name, later)
+        return answered
+
     def deliver_report(self, name: str, body: Any) -> Reply:
         if self.copies and self.random.random() < self.copies:
             # A copy comes late, from seconds to well over a lease, to whatever process is there by then.
@@ -600,6 +685,9 @@
             self.clock.callLater(self.delay(), fire, result)
 
         def fire(result: Any) -> None:
+            if source in self.processes and self.frozen.get(source, 0.0) > self.now:
+                self.awake(source, fire, result)
+                return
             if answered.called:
                 return
             if isinstance(result, Exception):
@@ -694,8 +782,7 @@
                 self.rules.answered(job)
                 told(job, result)
 
-        asked = defer.ensureDeferred(ask(node))
-        asked.addCallbacks(answer, lambda failure: None)
+        self.awake(name, lambda: defer.ensureDeferred(ask(node)).addCallbacks(answer, lambda failure: None))
 
     def _accepted(self, job: str, result: tuple[bool, dict[str, Any]]) -> None:
         self._told(job, result[1])
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -49,6 +49,11 @@
         world.kill(name, 4.0)
 
 
+def crash_all_at_once(world: World) -> None:
+    for name in world.names:
+        world.kill(name, 0.2)
+
+
 def crash_all_in_outage(world: World) -> None:
     world.state.outage(12.0)
     crash_all(world)
@@ -168,6 +173,51 @@
     world.cloud.down_until = world.now + 55.0
 
 
+def freeze_leader(world: World) -> None:
+    """It stands still for longer than all leases; when it goes on, everything is due at once."""
+    world.freeze(world.leader() or "node-0", 25.0)
+
+
+def freeze_standbys(world: World) -> None:
+    leader = world.leader()
+    for name in world.names:
+        if name != leader:
+            world.freeze(name, 14.0)
+
+
+def freeze_in_elections(world: World) -> None:
+    """The leader stands still and each node after it, a moment after it was elected or while it is."""
+    for number in range(24):
+        world.clock.callLater(number * 0.35, freeze_now_and_then, world, number)
+
+
+def freeze_now_and_then(world: World, number: int) -> None:
+    name = world.leader() or world.names[number % 3]
+    if number % 2 == 0 and world.frozen.get(name, 0.0) <= world.now:
+        world.freeze(name, world.random.uniform(1.0, 6.0))
+
+
+def peers_refuse(world: World) -> None:
+    world.peers_refuse = world.now + 40.0
+
+
+def most_machines_at_once(world: World) -> None:
+    """Some die, some hang, some are cut off, and half of the spot machines are taken back."""
+    up = [m for m in world.cloud.machines.values() if m.up]
+    for machine in up[::4]:
+        machine.die()
+    for machine in up[1::4]:
+        for name in world.names:
+            world.cut(name, machine.name, 18.0, hold=True)
+    hang(15.0)(world)
+    spot_wave(world)
+
+
+def burst(world: World) -> None:
+    for number in range(12):
+        world.submit(world.job(500 + number, pieces=4, vcpus=2.0, guessS=6.0, crew=("core", "edge")[number % 2]))
+
+
 def machines_restart(world: World) -> None:
     for machine in [m for m in world.cloud.machines.values() if m.up][:3]:
         machine.restart()
@@ -195,6 +245,15 @@
     "leader alone, then others crash": [leader_alone_with_its_workers, spot_wave, crash_leader],
     "zone with the leader cut off, cloud down": [zone_with_leader_cut_off],
     "machines restart at once": [machines_restart, machines_restart, restart_in_election],
+    "leader stands still": [freeze_leader, crash_leader],
+    "leader stands still, copies come late": [late_copies, burst, freeze_leader, spot_wave],
+    "leader stands still while the store is down": [outage, freeze_leader],
+    "standbys stand still, then the leader dies": [freeze_standbys, crash_leader],
+    "nodes stand still in elections": [freeze_in_elections, burst, freeze_in_elections],
+    "all crash under a burst, back at once": [burst, crash_all_at_once, burst, roll],
+    "most machines at once, cloud down": [burst, most_machines_at_once, cloud_outage],
+    "most machines at once, leader cut off": [most_machines_at_once, leader_cut_from_state, crash_leader],
+    "peers refuse, leader cut from the workers": [peers_refuse, leader_cut_from_workers, crash_leader],
     "faulty machine, machines die": [faulty_machine, machines_die, crash_leader],
 }
 
--- a/tests/test_size.py
+++ b/tests/test_size.py
@@ -1,4 +1,4 @@
-"""A fleet of the grown size: what a round and a task cost, in machine visits and store changes, not in time."""
+"""Large fleets: what a round and a task cost, in machine visits and store changes, not in time."""
 
 import pytest
 
@@ -6,6 +6,7 @@
 from stileloft.coordination import placement
 from stileloft.coordination.leader import Term
 from stileloft.coordination.preemption import Trials
+from stileloft.transport.sockets import KEEP_USERS, Sockets
 from tests.standins import TYPES, World
 
 MACHINES = 200
@@ -70,3 +71,76 @@
     world.run(40)
     returned = MACHINES - len([m for m in world.cloud.machines.values() if m.name < f"n-{MACHINES:06d}"])
     assert returned > 100 and counts["releases"] - before < returned / 4
+
+
+class LargeWorld(World):
+    """The settings of a large fleet: more machines than half of the sockets."""
+
+    SOCKETS, CLOUD_RPS, WRITE_RPS = 1950, 9.0, 50.0
+
+    def settings(self, name: str) -> str:
+        text = super().settings(name)
+        for old, new in (("max_sockets = 200", f"max_sockets = {self.SOCKETS}"),
+                         ("write_rps = 60.0", f"write_rps = {self.WRITE_RPS}"),
+                         ("\nrps = 8.0", f"\nrps = {self.CLOUD_RPS}")):
+            assert old in text
+            text = text.replace(old, new)
+        return text
+
+
+@pytest.mark.parametrize("keeps", [False, True])
+def test_half_as_many_machines_again_as_the_fleet(keeps: bool, monkeypatch: pytest.MonkeyPatch) -> None:
+    """A burst, half of the machines lost at once, and all controllers restarted: what is open and asked for is bounded.
+
+    With `keeps`, idle connections to workers are never given up, and the checker must object.
+    """
+    machines = 942
+    if keeps:
+        monkeypatch.setattr(Sockets, "keep_commands", lambda sockets: True)
+    world = LargeWorld(seed=24, capacity=machines, loss=0.0)
+    for number in range(machines):
+        machine = world.cloud.add(TYPES[0], "ab"[number % 2], True)
+        if not machine.up:
+            machine.boot()
+    asked: dict[int, int] = {}
+    changed: dict[int, int] = {}
+    handle, commit = world.cloud.handle, world.state.commit
+
+    def count_asked(caller, method, path, body):
+        asked[int(world.now)] = asked.get(int(world.now), 0) + 1
+        return handle(caller, method, path, body)
+
+    def count_changes(body):
+        changed[int(world.now)] = changed.get(int(world.now), 0) + len(body["writes"])
+        return commit(body)
+
+    monkeypatch.setattr(world.cloud, "handle", count_asked)
+    monkeypatch.setattr(world.state, "commit", count_changes)
+    for number in range(40):
+        body = world.job(number, pieces=30, vcpus=0.03, memGb=24.0, guessS=12.0, bundle=f"img-{number % 5}",
+                         crew=("core", "edge")[number % 2])
+        world.clock.callLater(5.0 + 0.1 * number, world.submit, body)
+
+    def lose_half() -> None:
+        for machine in [m for m in world.cloud.machines.values() if m.up][::2]:
+            machine.die()
+
+    world.clock.callLater(18.0, lose_half)
+    for name in world.names:
+        world.clock.callLater(19.0, world.kill, name, 0.3)
+    most = 0
+    for _ in range(150):
+        world.run(0.5)
+        most = max(most, *(world.sockets(name) for name in world.names))
+    world.rules.check_cancelled()
+    assert world.rules.broken == []
+    # The workers' reports alone take half; the rest is for commands, users, peers and the state service.
+    assert (most > KEEP_USERS * world.SOCKETS) == keeps
+    if keeps:
+        return
+    assert sum(world.rules.last.get(job) == "done" for job in world.jobs) == 40
+    # The platform allows bursts of two seconds' worth of requests to the cloud, and of one of changes.
+    assert max(asked.values()) <= 2 * world.CLOUD_RPS
+    assert max(changed.values()) <= 2 * world.WRITE_RPS
+    # Those that were lost went back many at a time.
+    assert len(world.cloud.machines) < machines and sum(asked.values()) < 5 * 75
