What something waits for is stored first; the leader may use 0.7 of the store's changes

Change: placements and ends go first; completions and counts only once users would see them too late. Counts are told half as often while the budget is short. A batch is no larger than what is left, and nothing is prepared below a third of one. Shares 0.7 for the leader and 0.25 for users (0.6 and 0.3).

--- a/stileloft/coordination/ledger.py
+++ b/stileloft/coordination/ledger.py
@@ -25,6 +25,7 @@
 IN_FLIGHT = 3
 # The state that users see may lag by 3 s.
 COUNTS_S = 1.2
+LATE_S = 2.4
 # How often a job is looked at of which nothing but the counts can have changed.
 LOOK_S = 0.25
 # Completed tasks of a job are gathered for this long into one change; their room is free at once.
@@ -106,7 +107,9 @@
             entry.deletes.append(active)
         else:
             phase_changes = (entry.counts[1] > 0) != (job.counts_stored[1] > 0)
-            stale = entry.counts != job.counts_stored and (phase_changes or now - job.counts_at > COUNTS_S)
+            # Each time the counts are told is a change more, so less often while the budget is short.
+            every_s = COUNTS_S if self.term.writes.level() > self.term.writes.per_s / 2 else LATE_S
+            stale = entry.counts != job.counts_stored and (phase_changes or now - job.counts_at > every_s)
             if active_changes or stale:
                 record = job.record()
                 record["f"] = records.to_ranges(job.done_chunks | set(entry.finished))
@@ -124,7 +127,7 @@
         term = self.term
         if not term.alive or not term.confirmed():
             return
-        limit = term.settings.state.txn_ops
+        most = min(term.settings.state.txn_ops, int(term.writes.per_s))
         with term.lock:
             now = term.clock.seconds()
             waiting = []
@@ -135,9 +138,16 @@
                     self.later(job.gathering_since + GATHER_S - now)
                 elif not job.busy:
                     waiting.append(job)
-            # Reports' results and placements of pressing work first.
-            waiting.sort(key=lambda job: (-job.spec.rank, job.submitted))
+            # Under a burst the budget does not suffice for all. First what something waits for: placements, and
+            # ends; completions and counts only until users would see them too late.
+            waiting.sort(key=lambda job: (not self._waited_for(job, now), -job.spec.rank, job.submitted))
             while waiting and self.in_flight < IN_FLIGHT:
+                # Seen before the entries are made: under a burst they would be made in vain with each report.
+                least, level = most // 3, term.writes.level()
+                if level < least:
+                    self.later((least - level) / term.writes.per_s)
+                    break
+                limit = max(4, min(most, int(level)))  # what ends a job takes four
                 batch: list[Entry] = []
                 ops = size = 0
                 rest: list[Job] = []
@@ -175,6 +185,10 @@
                 defer.ensureDeferred(self._commit(batch))
                 waiting = rest
 
+    @staticmethod
+    def _waited_for(job: Job, now: float) -> bool:
+        return job.pressing or now > job.counts_at + LATE_S
+
     def gather(self, job: Job, pressing: bool) -> None:
         """A task of the job is done. Many such share a change, unless it is the last or something else presses."""
         left = job.spec.tasks - job.done - sum(1 for p in job.placements() if p.state == ENDED and p.done)
--- a/stileloft/coordination/node.py
+++ b/stileloft/coordination/node.py
@@ -53,8 +53,8 @@
 
 # Parts of the state service's limits; together they stay below it.
 READS_SHARE = 0.5
-LEADER_WRITES = 0.6
-USER_WRITES = 0.3
+LEADER_WRITES = 0.7
+USER_WRITES = 0.25
 
 # The leader's lease, as a part of the workers'.
 LEADER_LEASE = 0.1
