--- a/stileloft/coordination/scaling.py
+++ b/stileloft/coordination/scaling.py
@@ -15,7 +15,8 @@
 KEEP_FULL_PRICE_BOOTS = 0.3
 # Waiting that the present machines will end within this part of a boot does not pay a rental.
 WAIT_BOOTS = 0.4
-# Machines rented by one plan: at least so many, or this part of the fleet.
+# Machines rented by one plan: at least so many, or this part of the fleet or of what the waiting tasks would
+# fill. An empty fleet would else take half a minute to grow to some hundreds.
 MAX_NEW = 8
 NEW_PART = 0.25
 NEW = "new-"
@@ -75,6 +76,16 @@
     return best[1] if best else None
 
 
+def machines_for(unmet: list[tuple[Waiting, int]], types: dict[str, MachineType]) -> float:
+    """Roughly how many machines the tasks would fill, each on the smallest type that they fit on."""
+    total = 0.0
+    for job, count in unmet:
+        sizes = [kind.cpus for kind in types.values() if fits_type(job.spec, kind)]
+        if sizes:
+            total += count * job.spec.cpus / max(min(sizes), 1.0)
+    return total
+
+
 def plan(snapshot: Snapshot, unmet: list[tuple[Waiting, int]], refused: set[Offer],
          headroom: list[tuple[JobSpec, int]], busy: bool, settings: OperatorSettings) -> Plan:
     """Rentals for what will not be served in time, and idle machines to return.
@@ -84,7 +95,8 @@
     whether jobs are still coming.
     """
     result = Plan()
-    max_new = min(max(MAX_NEW, int(NEW_PART * len(snapshot.nodes))), settings.max_machines - len(snapshot.nodes))
+    most_new = max(MAX_NEW, int(NEW_PART * max(len(snapshot.nodes), machines_for(unmet, snapshot.types))))
+    max_new = min(most_new, settings.max_machines - len(snapshot.nodes))
     copies = [node.copy() for node in snapshot.nodes.values()]
     coming = [node for node in copies if not node.up]
     in_zone: dict[tuple[str, str], int] = {}
