A crowd of jobs that has not begun ages earlier, so that each begins within 240 s

The known limit: with many wide jobs on few machines, what is left after 144 s did not suffice for a task of each (48 jobs on two machines: the last begun after 249 s, on the stand-ins). The age from which a job goes before more pressing work is now 0.9 of 240 s less the time that the machines that fit need for a first task of each, between 60 s and 144 s; with usual queues it stays 144 s.

--- a/stileloft/coordination/leader.py
+++ b/stileloft/coordination/leader.py
@@ -3,6 +3,7 @@
 import logging
 import math
 import threading
+from collections.abc import Iterable
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any
 
@@ -53,9 +54,13 @@
 CHECK_S = 0.5
 # A machine's copy for the decisions is kept for so long: its tasks' remaining times may be this old.
 VIEW_S = 1.0
-# A job that waits for longer goes before more pressing work, which would keep it waiting without an end: jobs
-# are to begin within 240 s.
-AGED_S = 0.6 * 240.0
+# Jobs are to begin within this time. One that has waited for this part of it goes before more pressing work,
+# which would keep it waiting without an end; earlier, down to the least part, while so many have not begun that
+# the machines need the time for a task of each.
+BEGIN_S = 240.0
+AGED_PART = 0.6
+AGED_LEAST = 0.25
+CROWD_PART = 0.9
 PLAN_S = 2.0
 WATCH_S = 4.0
 # What one round places, as a multiple of the changes in a transaction.
@@ -649,6 +654,7 @@
                 copies[copy.id] = copy
         waiting = []
         stray_tasks = self.stray_tasks()
+        aged_s = self._aged_after(copies.values())
         for job in self.jobs.values():
             used = usage.setdefault(job.spec.team, Usage())
             used.cpus += job.spec.cpus * job.placed
@@ -662,7 +668,7 @@
             avoid = frozenset(m for (j, m), until in self.avoided.items() if j == job.id and until > now)
             waiting.append(Waiting(job.spec, job.submitted, count, tasks, dict(job.zones),
                                    self.estimate(job.spec), self.wait_goals.get(job.spec.job_class), avoid,
-                                   self._aged(job), begun=job.begun))
+                                   self._aged(job, aged_s), begun=job.begun))
         return Snapshot(self.wall(), copies, waiting, self.teams, usage, dict(self.nominations), types)
 
     def _view(self, machine: Machine, kind: MachineType, now: float) -> Node:
@@ -712,8 +718,22 @@
         copy.settle()
         return copy
 
-    def _aged(self, job: Job) -> bool:
-        return self.wall() - job.submitted > AGED_S
+    def _aged(self, job: Job, after_s: float) -> bool:
+        return self.wall() - job.submitted > after_s
+
+    def _aged_after(self, nodes: Iterable[Node]) -> float:
+        """How long a job waits before its age counts: less while a crowd is to begin on few machines."""
+        room: dict[str, float] = {}
+        for node in nodes:
+            if node.up:
+                room[node.type.name] = room.get(node.type.name, 0.0) + node.type.cpus
+        first_s = 0.0
+        for job in self.jobs.values():
+            if not job.begun and not job.over and job.waiting:
+                spec = job.spec
+                fitting = sum(cpus for name, cpus in room.items() if fits_type(spec, self.types[name]))
+                first_s += self.estimate(spec) * spec.cpus / max(fitting, spec.cpus, 1.0)
+        return max(AGED_LEAST * BEGIN_S, min(AGED_PART * BEGIN_S, CROWD_PART * BEGIN_S - first_s))
 
     def _has_room(self, machine: Machine, kind: MachineType, spec: JobSpec) -> bool:
         cpus, gpus, memory_gb = spec.cpus, spec.gpus or 0.0, spec.memory_gb
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -362,9 +362,26 @@
     assert [line for line in world.rules.broken if "quick" not in line and "team" not in line] == []
 
 
+def test_a_crowd_of_wide_jobs_begins_after_machines_are_lost() -> None:
+    """More than two machines can begin in what is left of 240 s once jobs are old: their age counts earlier."""
+    world = overloaded(48)
+    world.cloud.most = 4
+
+    def lose_half() -> None:
+        for machine in list(world.cloud.machines.values())[:2]:
+            machine.die()
+        world.cloud.most = 2
+
+    world.clock.callLater(60.0, lose_half)
+    world.run(470)
+    waits = [world.rules.begun_at[f"j-{n:06d}"] - world.rules.submitted_at[f"j-{n:06d}"] for n in range(48)]
+    assert max(waits) < 240
+    assert [line for line in world.rules.broken if "not_served" not in line] == []
+
+
 def test_the_checker_sees_unserved_and_forgotten_jobs(monkeypatch: pytest.MonkeyPatch) -> None:
     """Without ageing the overload keeps old jobs out; a node that answers no question about one job forgets it."""
-    monkeypatch.setattr(Term, "_aged", lambda term, job: False)
+    monkeypatch.setattr(Term, "_aged", lambda term, job, after_s: False)
     world = overloaded(4)
 
     plain = Admission.status
