--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -1,19 +1,22 @@
 """The command line, settings, HTTP behaviour and election, each without a network."""
 
 import logging
+from collections.abc import Callable
 
 import msgspec
 import pytest
 from twisted.internet import defer
+from twisted.internet.task import Clock
 from twisted.internet.testing import StringTransport
 
 from stileloft import cli
 from stileloft.bookkeeping import records
 from stileloft.protocol import messages
 from stileloft.protocol.admin import BadSettings, OperatorSettings, OutOfDate, parse_operator_settings
-from stileloft.protocol.users import PublicResources
+from stileloft.protocol.users import REPORT_PATH, PublicResources
 from stileloft.settings import SettingsError, parse
 from stileloft.transport.server import Answer, Router, make_site
+from stileloft.transport.sockets import Sockets
 from tests.standins import World
 
 # -- settings and command line ------------------------------------------------------
@@ -115,9 +118,9 @@
         return messages.state_answer(job, "cancelled")
 
 
-def exchange(data: bytes) -> tuple[int, dict[str, str], bytes]:
+def exchange(data: bytes, keep: Callable[[str], bool] = lambda path: True) -> tuple[int, dict[str, str], bytes]:
     public = PublicResources(Service(), lambda report: Answer(421, {"steward": "node-1"}), lambda: True, NotNow, Never)
-    site = make_site(Router(public.match, messages.encode, messages.decode, "application/cbor"), 60.0)
+    site = make_site(Router(public.match, messages.encode, messages.decode, "application/cbor", keep), 60.0)
     channel = site.buildProtocol(None)
     transport = StringTransport()
     transport.setTcpNoDelay = lambda on: None  # type: ignore[attr-defined]
@@ -166,6 +169,27 @@
     assert status == 503 and "retry-after" in headers
 
 
+def test_users_give_way_when_sockets_are_few_and_workers_do_not() -> None:
+    """A request is still answered; it is the connection that is not kept for the next one."""
+    open_now = [0]
+    clock = Clock()
+    sockets = Sockets(clock, lambda: open_now[0], 1000)
+
+    def keep(path: str) -> bool:
+        return path == REPORT_PATH or sockets.keep_users()
+
+    poll = b"GET /v2/runs/j-1 HTTP/1.1\r\nHost: x\r\n\r\n"
+    report = b"POST /checkin HTTP/1.1\r\nHost: x\r\nContent-Length: 1\r\n\r\n\xa0"
+    for count, commands, users in ((0, True, True), (750, False, True), (900, False, False)):
+        open_now[0] = count
+        clock.advance(1.0)
+        assert (sockets.keep_commands(), sockets.keep_users()) == (commands, users)
+        status, headers, body = exchange(poll, keep)
+        assert status == 200 and messages.decode(body)["phase"] == "running"
+        assert (headers.get("connection") != "close") == users
+        assert "connection" not in exchange(report, keep)[1]
+
+
 def test_large_bodies_are_refused_before_they_are_read() -> None:
     head = b"POST /v2/runs HTTP/1.1\r\nHost: x\r\nContent-Length: 70000\r\n\r\n"
     status, headers, _ = exchange(head)
