--- a/stileloft/coordination/ledger.py
+++ b/stileloft/coordination/ledger.py
@@ -28,6 +28,8 @@
 LATE_S = 2.4
 # How often a job is looked at of which nothing but the counts can have changed.
 LOOK_S = 0.25
+# The store is left alone for so long after it has not executed a commit.
+REFUSED_S = 0.3
 # Completed tasks of a job are gathered for this long into one change; their room is free at once.
 GATHER_S = 1.2
 
@@ -57,6 +59,7 @@
         self.in_flight = 0
         self._timer: Any = None
         self.commits = 0
+        self._refused_until = 0.0
 
     # -- what to write --------------------------------------------------------
 
@@ -128,8 +131,12 @@
         if not term.alive or not term.confirmed():
             return
         most = min(term.settings.state.txn_ops, int(term.writes.per_s))
+        now = term.clock.seconds()
+        if now < self._refused_until:
+            # Reports ask for a flush many times a second: in an outage each would be a request in vain.
+            self.later(self._refused_until - now)
+            return
         with term.lock:
-            now = term.clock.seconds()
             waiting = []
             for job in term.dirty_jobs():
                 if not job.dirty and now < job.looked_at + LOOK_S:
@@ -241,7 +248,9 @@
             log.info("commit not executed: %s", error)
             for entry in batch:
                 self._again(entry)
-            self.later(0.3)
+            term.writes.give_back(len(puts) + len(deletes))
+            self._refused_until = term.clock.seconds() + REFUSED_S
+            self.later(REFUSED_S)
             return
         except Unknown as error:
             self.in_flight -= 1
--- a/stileloft/coordination/node.py
+++ b/stileloft/coordination/node.py
@@ -51,6 +51,9 @@
 # copy is told from it.
 REFERRED_LEASES = 8.0
 
+# The leader's part of the cloud's limit; the other nodes ask for prices, and a former leader may ask a little.
+CLOUD_PART = 0.75
+
 # Parts of the state service's limits; together they stay below it.
 READS_SHARE = 0.5
 LEADER_WRITES = 0.7
@@ -89,7 +92,7 @@
         self.refused = False
         """The state service serves other nodes, but not this one."""
         self.cloud = CloudClient(wire, settings.external.cloud, CLOUD_TIMEOUT_S,
-                                 Budget(reactor, deployment.cloud.rps / 2))
+                                 Budget(reactor, deployment.cloud.rps * CLOUD_PART))
         self.workers = WorkerClient(commands, WORKER_TIMEOUT_S)
         nodes = max(1, deployment.size)
         # One node may be down at any time, and the others then get its users.
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -11,10 +11,12 @@
 
 from stileloft import cli
 from stileloft.bookkeeping import records
+from stileloft.coordination.ledger import REFUSED_S
 from stileloft.protocol import messages
 from stileloft.protocol.admin import BadSettings, OperatorSettings, OutOfDate, parse_operator_settings
 from stileloft.protocol.users import REPORT_PATH, PublicResources
 from stileloft.settings import SettingsError, parse
+from stileloft.transport.client import Reply
 from stileloft.transport.server import Answer, Router, make_site
 from stileloft.transport.sockets import Sockets
 from tests.standins import World
@@ -283,6 +285,31 @@
     assert accepted and accepted[0][0]
 
 
+def test_a_store_that_executes_nothing_is_not_asked_with_each_report() -> None:
+    """Reports come many times a second; so did commits, which used up what was wanted after the outage."""
+    world = World(seed=25, loss=0.0)
+    for number in range(6):
+        world.submit(world.job(number, pieces=6, vcpus=1.0, guessS=4.0))
+    world.run(27)
+    assert world.rules.where
+    commits, handle = [], world.state.handle
+
+    def counted(caller, method, path, body):
+        if path == "/commit" and world.now < until:
+            commits.append(world.now)
+            return Reply(503, {"error": "trouble"})
+        return handle(caller, method, path, body)
+
+    until = world.now + 10.0
+    world.state.handle = counted  # type: ignore[method-assign]
+    term = world.nodes[world.leader()].term
+    world.run(9.9)
+    assert 10 <= len(commits) < 1.2 * 10 / REFUSED_S
+    assert term.writes.level() > term.writes.per_s - 1
+    world.run(60)
+    assert set(world.rules.last.values()) == {"done"} and world.rules.broken == []
+
+
 def test_a_node_that_alone_is_refused_sends_users_away_but_not_in_an_outage_for_all() -> None:
     world = World(12, loss=0.0)
     world.run(10)
