--- a/stileloft/coordination/node.py
+++ b/stileloft/coordination/node.py
@@ -134,8 +134,9 @@
     def _listen(self, address: str, router: Router) -> None:
         host, port = split_address(address)
         idle_s = 4 * self.settings.deployment.workers.lease_s
-        # All workers and users may come at once, to a new leader or after a restart.
-        backlog = self.settings.deployment.quota.max_sockets
+        # All workers may come at once, to a new leader or after a restart; a worker takes two sockets in all. While
+        # the process stands still those that wait fill up, and the rest is wanted for its own when it goes on.
+        backlog = self.settings.deployment.quota.max_sockets // 2
         self.reactor.listenTCP(port, make_site(router, idle_s), interface=host, backlog=backlog)
 
     async def _catalog_loop(self) -> None:
