Room kept free grows with the root of the arrivals in a boot; the gone are remembered by time

Cause: room for one or two jobs of the usual size is kept for classes that cannot wait for a boot. At the fleets seven bulk and forty urgent jobs come in a boot, and their number varies by the root of that.

Classes of which two jobs or fewer come in a boot are served as before.

The backlog is a quarter of the sockets: with half of them all sockets of a frozen node were taken as well.

--- a/stileloft/coordination/fleet.py
+++ b/stileloft/coordination/fleet.py
@@ -37,7 +37,8 @@
 REFUSED_BOOTS = 0.5
 MARGIN_LEASES = 0.1
 RENT_TRIES = 6
-GONE_KEPT = 2000
+# Machines that are gone are remembered for so many leases: packets held back may come minutes late.
+GONE_LEASES = 40.0
 # Machines to be returned are gathered for so long into one request.
 GATHER_S = 0.05
 # How often it is recorded where images are, and how many a machine is believed to have.
@@ -239,9 +240,9 @@
         """The cloud has confirmed that the machine and everything on it is gone."""
         term = self.term
         self.returning.pop(machine.id, None)
-        self.gone[machine.id] = term.clock.seconds()
-        if len(self.gone) > GONE_KEPT:
-            del self.gone[next(iter(self.gone))]
+        now = self.gone[machine.id] = term.clock.seconds()
+        while now - self.gone[oldest := next(iter(self.gone))] > GONE_LEASES * self.lease_s:
+            del self.gone[oldest]
         for placement in list(machine.placements.values()):
             term.end(placement, "its machine is gone")
         term.machines.pop(machine.id, None)
--- a/stileloft/coordination/leader.py
+++ b/stileloft/coordination/leader.py
@@ -76,6 +76,8 @@
 DURATIONS_KEPT = 20
 # A class is taken to have ended when nothing came for this many of its usual gaps.
 QUIET_ARRIVALS = 4.0
+# The room that operators set is for classes of which so many jobs come in a boot.
+CROWD_ARRIVALS = 2.0
 BACKOFF_S = 1.0
 BACKOFF_MAX_S = 60.0
 
@@ -614,10 +616,15 @@
                 factor = settings.headroom_wait
             else:
                 factor = settings.headroom if self._allowance(spec) < 0 else 0.0
-            found.append((spec, math.ceil(factor * load.tasks)))
+            found.append((spec, math.ceil(factor * self._crowd(load) * load.tasks)))
         found.sort(key=lambda item: -item[0].rank)
         return found
 
+    def _crowd(self, load: ClassLoad) -> float:
+        """What arrives in a boot varies by its root: more room for classes of which many jobs come in one."""
+        boot_s = min((kind.boot_s for kind in self.types.values() if fits_type(load.spec, kind)), default=0.0)
+        return max(1.0, math.sqrt(boot_s / max(load.gap_s, 0.1) / CROWD_ARRIVALS))
+
     def _ended(self, load: ClassLoad) -> bool:
         """Whether the class has sent nothing for so long that it is taken to have ended."""
         return self.wall() - load.last > QUIET_ARRIVALS * max(load.gap_s, load.spec.estimate_s)
--- a/stileloft/coordination/node.py
+++ b/stileloft/coordination/node.py
@@ -134,9 +134,9 @@
     def _listen(self, address: str, router: Router) -> None:
         host, port = split_address(address)
         idle_s = 4 * self.settings.deployment.workers.lease_s
-        # All workers may come at once, to a new leader or after a restart; a worker takes two sockets in all. While
+        # All workers may come at once, to a new leader or after a restart, and are taken in within moments. While
         # the process stands still those that wait fill up, and the rest is wanted for its own when it goes on.
-        backlog = self.settings.deployment.quota.max_sockets // 2
+        backlog = self.settings.deployment.quota.max_sockets // 4
         self.reactor.listenTCP(port, make_site(router, idle_s), interface=host, backlog=backlog)
 
     async def _catalog_loop(self) -> None:
