--- a/stileloft/bookkeeping/model.py
+++ b/stileloft/bookkeeping/model.py
@@ -5,7 +5,7 @@
 from typing import Any
 
 from stileloft.bookkeeping import records
-from stileloft.protocol.messages import JobSpec, MachineType, job_from_wire, job_to_wire
+from stileloft.protocol.messages import RUNNING, SAVING, JobSpec, MachineType, job_from_wire, job_to_wire
 
 TaskKey = tuple[str, int]
 
@@ -56,9 +56,12 @@
     placements: dict[int, Placement] = field(default_factory=dict)
     dirty: bool = False
     stored: bool = False
+    parts: dict[int, tuple[int, Any]] = field(default_factory=dict)
+    """Version and value of its further records in the store."""
 
-    def record(self, spec: JobSpec) -> dict[str, Any]:
-        return {
+    def record(self, spec: JobSpec, size: int | None = None) -> dict[str, Any]:
+        """The whole chunk as one value; with its length, from format 1 on."""
+        record: dict[str, Any] = {
             "r": [spec.team, spec.cpus, spec.gpus or 0.0, spec.memory_gb],
             "a": self.attempt,
             "d": records.to_ranges(self.done | {i for i, p in self.placements.items()
@@ -66,6 +69,27 @@
             "p": {str(i): [p.attempt, p.machine, p.zone, 1 if p.spot else 0]
                   for i, p in self.placements.items() if p.state != ENDED},
         }
+        if size is not None:
+            record["n"] = size
+        return record
+
+    def records(self, spec: JobSpec, size: int, value_bytes: int) -> list[dict[str, Any]]:
+        """The chunk as its own record and the further ones that it takes, each within the limit."""
+        first = self.record(spec, size)
+        few = records.USUAL_BYTES_PER_TASK * (len(first["p"]) + len(first["d"])) + records.CHUNK_BYTES < value_bytes / 2
+        if few or records.size_of(first) <= value_bytes:
+            return [first]
+        placed, first["p"] = first["p"], {}
+        found = [first]
+        room = value_bytes - records.size_of(first)
+        for index, placement in placed.items():
+            need = records.size_of({index: placement})
+            if need > room:
+                found.append({"p": {}})
+                room = value_bytes - records.size_of(found[-1])
+            found[-1]["p"][index] = placement
+            room -= need
+        return found
 
 
 class Job:
@@ -76,6 +100,11 @@
         self.submitted = submitted
         """Time of day of acceptance, in seconds."""
         self.size = size
+        """Tasks per chunk, which the keys of its chunks depend on: never changed."""
+        self.size_stored = False
+        """Its record says so. If not, it follows from the store's limit when the job was accepted."""
+        self.most_placed: int | None = None
+        """So many tasks of a chunk may be placed, while a chunk must have one record."""
         self.version = 0
         self.chunks: dict[int, Chunk] = {}
         self.done_chunks: set[int] = set()
@@ -140,9 +169,15 @@
                 continue
             chunk = self.chunks.get(number)
             first = number * self.size
+            room = self.chunk_length(number)
+            if self.most_placed is not None:
+                room = min(room, self.most_placed - (len(chunk.placements) if chunk else 0))
             for index in range(first, first + self.chunk_length(number)):
+                if room <= 0:
+                    break
                 if chunk is None or (index not in chunk.done and index not in chunk.placements):
                     found.append(index)
+                    room -= 1
                     if len(found) >= limit:
                         return found
         return found
@@ -164,12 +199,11 @@
             yield from chunk.placements.values()
 
     def running(self) -> int:
-        return sum(1 for p in self.placements() if p.state == BOUND and p.seen in ("running", "saving", "flushing"))
+        return sum(1 for p in self.placements() if p.state == BOUND and p.seen in (RUNNING, SAVING))
 
-    def record(self) -> dict[str, Any]:
-        return {
-            "s": job_to_wire(self.spec),
-            "t": self.submitted,
+    def record(self, sized: bool) -> dict[str, Any]:
+        """Its record; from format 1 on (`sized`) with the length of its chunks."""
+        return active_record(self.spec, self.submitted, self.size if sized or self.size_stored else None) | {
             "f": records.to_ranges(self.done_chunks),
             "c": [self.done, self.running()],
             "e": self.stopped_for_others,
@@ -177,16 +211,32 @@
 
     def load_active(self, value: dict[str, Any], version: int) -> None:
         self.version = version
+        self.size_stored = "n" in value
         self.done_chunks = records.from_ranges(value["f"])
         self.stopped_for_others = max(self.stopped_for_others, value.get("e", 0))
         self.counts_stored = tuple(value["c"])  # type: ignore[assignment]
         self.begun = self.begun or any(self.counts_stored)
 
-    def load_chunk(self, number: int, value: dict[str, Any], version: int) -> None:
-        """Takes the store's word for a chunk, keeping what is known of unchanged placements."""
-        before = self.chunks.get(number)
-        chunk = Chunk(version=version, attempt=value["a"], done=records.from_ranges(value["d"]), stored=True)
-        for text, (attempt, machine, zone, spot) in value["p"].items():
+    def load_chunks(self, items: list[tuple[str, Any, int]]) -> None:
+        """Takes the store's word for its chunks, given their keys, values and versions."""
+        found: dict[int, dict[int, tuple[Any, int]]] = {}
+        for key, value, version in items:
+            _, number, part = records.split_chunk_key(key)
+            found.setdefault(number, {})[part] = value, version
+        before, self.chunks = self.chunks, {}
+        for number, parts in found.items():
+            if number not in self.done_chunks:
+                self.chunks[number] = self._load_chunk(before.get(number), parts)
+
+    def _load_chunk(self, before: Chunk | None, parts: dict[int, tuple[Any, int]]) -> Chunk:
+        """A chunk of its records, keeping what is known of unchanged placements."""
+        value, version = parts.pop(0, ({"a": 0, "d": [], "p": {}}, 0))
+        chunk = Chunk(version=version, attempt=value["a"], done=records.from_ranges(value["d"]), stored=True,
+                      parts={part: (part_version, further) for part, (further, part_version) in parts.items()})
+        placed = dict(value["p"])
+        for further, _ in parts.values():
+            placed |= further["p"]
+        for text, (attempt, machine, zone, spot) in placed.items():
             index = int(text)
             known = before.placements.get(index) if before else None
             if known is not None and known.attempt == attempt and known.machine == machine:
@@ -195,7 +245,7 @@
                 chunk.placements[index] = known
             else:
                 chunk.placements[index] = Placement(self.id, index, attempt, machine, zone, bool(spot))
-        self.chunks[number] = chunk
+        return chunk
 
     def recount(self) -> None:
         self._free = None
@@ -207,8 +257,15 @@
         self.done += sum(len(chunk.done) for chunk in self.chunks.values())
 
 
+def active_record(spec: JobSpec, submitted: float, size: int | None) -> dict[str, Any]:
+    """The record of a job that has just been accepted."""
+    record = {"s": job_to_wire(spec), "t": submitted, "f": [], "c": [0, 0]}
+    return record if size is None else record | {"n": size}
+
+
 def job_from_record(value: dict[str, Any], version: int, size: int) -> Job:
-    job = Job(job_from_wire(value["s"]), value["t"], size)
+    """A job of its record; `size` is the length of its chunks if the record says nothing."""
+    job = Job(job_from_wire(value["s"]), value["t"], value.get("n", size))
     job.load_active(value, version)
     return job
 
--- a/stileloft/bookkeeping/records.py
+++ b/stileloft/bookkeeping/records.py
@@ -3,19 +3,29 @@
     leader               who leads; on a lease, and its version is the fencing token
     active/<job>         an accepted, unfinished job: description, finished chunks, counts
     tasks/<job>/<chunk>  placements and finished tasks of a run of task numbers
+    tasks/<job>/<chunk>+<part>   placements that the chunk's own record has no room for
     final/<job>          how a job ended; kept for good
     settings             the operators' own settings
+    format               the format that may be written, once all controllers are known to read it
     images/<machine>     images that a machine is likely to have
     rented/<slot>        a rental carried out lately, whose machines the cloud's list may not show yet
 
 Nothing is stored for a task that was never placed, so a job of 100,000 tasks is
 one record until its tasks start.
+
+Format 0 is what the version before gangs reads: a chunk's length follows from
+`value_kb`, and a chunk has one record. Format 1 says the length in the job's
+record and in the chunk's (`n`), and has parts. Both are read for good.
 """
 
+import json
 from typing import Any
 
 LEADER = "leader"
 SETTINGS = "settings"
+FORMAT = "format"
+# What this version reads, and writes once all others do.
+NEWEST_FORMAT = 1
 RENTED = "rented/"
 IMAGES = "images/"
 ACTIVE = "active/"
@@ -31,6 +41,23 @@
     return max(8, min(256, int(value_kb * 1024 / 2 / BYTES_PER_TASK)))
 
 
+# The same as seen, and what a chunk's record takes beside its placements.
+USUAL_BYTES_PER_TASK = 42
+CHUNK_BYTES = 450
+# A job's description must leave so much of a value for what is recorded of its course.
+COURSE_BYTES = 256
+
+
+def tasks_in(value_bytes: int) -> int:
+    """Placements of the usual length that a chunk's record has room for."""
+    return max(8, (value_bytes - CHUNK_BYTES) // USUAL_BYTES_PER_TASK)
+
+
+def size_of(value: Any) -> int:
+    """Bytes of a value as JSON, in its longest form: with spaces, and all but ASCII escaped."""
+    return len(json.dumps(value))
+
+
 def rented_key(slot: int) -> str:
     return f"{RENTED}{slot:04d}"
 
@@ -47,9 +74,16 @@
     return f"{TASKS}{job}/{chunk:06d}"
 
 
-def split_chunk_key(key: str) -> tuple[str, int]:
-    job, _, chunk = key[len(TASKS):].rpartition("/")
-    return job, int(chunk)
+def part_key(job: str, chunk: int, part: int) -> str:
+    """The key of a chunk's own record (part 0) or of a further one."""
+    return f"{chunk_key(job, chunk)}+{part}" if part else chunk_key(job, chunk)
+
+
+def split_chunk_key(key: str) -> tuple[str, int, int]:
+    """Job, chunk and part."""
+    job, _, name = key[len(TASKS):].rpartition("/")
+    chunk, _, part = name.partition("+")
+    return job, int(chunk), int(part or 0)
 
 
 def split_task(task: str) -> tuple[str, int]:
--- a/stileloft/coordination/admission.py
+++ b/stileloft/coordination/admission.py
@@ -5,9 +5,9 @@
 from typing import Any, Protocol
 
 from stileloft.bookkeeping import records
-from stileloft.bookkeeping.model import fits_type
-from stileloft.protocol.messages import JobSpec, MachineType, job_to_wire, state_answer
-from stileloft.protocol.state import Budget, Conflict, StateClient, Unavailable, Unknown
+from stileloft.bookkeeping.model import active_record, fits_type
+from stileloft.protocol.messages import JobSpec, MachineType, state_answer
+from stileloft.protocol.state import Budget, Conflict, StateClient, TooLarge, Unavailable, Unknown
 from stileloft.settings import Team
 from stileloft.transport.clock import Clock
 
@@ -17,9 +17,11 @@
 
 
 class Catalog(Protocol):
-    """Where the machine types are to be had."""
+    """Where the machine types are to be had, and in which format records are written."""
 
     types: dict[str, MachineType]
+    format: int
+    chunk_size: int
 
 
 class NotDecidable(Exception):
@@ -34,7 +36,8 @@
     """The job can never run; the text says why."""
 
 
-def why_impossible(spec: JobSpec, teams: dict[str, Team], types: dict[str, MachineType]) -> str | None:
+def why_impossible(spec: JobSpec, teams: dict[str, Team], types: dict[str, MachineType],
+                   value_bytes: int) -> str | None:
     team = teams.get(spec.team)
     if team is None:
         return f"unknown team {spec.team!r}"
@@ -44,6 +47,12 @@
     if ((team.cpus_max and at_once * spec.cpus > team.cpus_max)
             or (team.gpus_max and at_once * (spec.gpus or 0) > team.gpus_max)):
         return "what has to run at once needs more than the team's limit"
+    if spec.is_gang and spec.spread and spec.tasks > 1:
+        zones = {zone for kind in types.values() if fits_type(spec, kind) for zone in kind.zones}
+        if spec.one_zone or spec.zone is not None or len(zones) < 2:
+            return "half of its tasks would have to be in another zone, and all of them run at once"
+    if records.size_of(active_record(spec, 0.0, spec.tasks)) + records.COURSE_BYTES > value_bytes:
+        return "its description is too long to be stored"
     return None
 
 
@@ -55,7 +64,7 @@
     """
 
     def __init__(self, clock: Clock, state: StateClient, teams: dict[str, Team], catalog: Catalog,
-                 reads: Budget, writes: Budget, wall: Any) -> None:
+                 reads: Budget, writes: Budget, wall: Any, value_bytes: int) -> None:
         self._clock = clock
         self._state = state
         self._teams = teams
@@ -63,6 +72,7 @@
         self._reads = reads
         self._writes = writes
         self._wall = wall
+        self._value_bytes = value_bytes
         # Only final answers may come from memory: nothing can make them older.
         self._final: OrderedDict[str, dict[str, Any]] = OrderedDict()
 
@@ -73,7 +83,7 @@
             return False, known
         if not self._catalog.types:
             raise NotDecidable("the machine types are not known yet")
-        reason = why_impossible(spec, self._teams, self._catalog.types)
+        reason = why_impossible(spec, self._teams, self._catalog.types, self._value_bytes)
         if reason is not None:
             # A known job is told its state, whatever has changed since it was accepted.
             known = await self.status(spec.id)
@@ -82,7 +92,7 @@
             raise Impossible(reason)
         self._spend(self._writes, 1.0)
         active, final = records.active_key(spec.id), records.final_key(spec.id)
-        value = {"s": job_to_wire(spec), "t": self._wall(), "f": [], "c": [0, 0]}
+        value = active_record(spec, self._wall(), self._catalog.chunk_size if self._catalog.format >= 1 else None)
         try:
             await self._state.commit({active: 0, final: 0}, {active: value}, [])
         except Conflict:
@@ -90,6 +100,8 @@
             if known is None:
                 raise NotDecidable("the job's record is changing") from None
             return False, known
+        except TooLarge:
+            raise Impossible("its description is too long to be stored") from None
         except (Unavailable, Unknown) as error:
             raise self._failed(error, self._writes, 1.0) from None
         log.info("job %s accepted: %d tasks of class %s for %s", spec.id, spec.tasks, spec.job_class, spec.team)
--- a/stileloft/coordination/dispatch.py
+++ b/stileloft/coordination/dispatch.py
@@ -7,9 +7,10 @@
 
 from stileloft.bookkeeping import records
 from stileloft.bookkeeping.model import BOUND, ENDED, Machine, Placement, Stray
+from stileloft.coordination import gangs
 from stileloft.coordination.fleet import UNANSWERED_S
 from stileloft.protocol import messages
-from stileloft.protocol.messages import Report, TaskReport
+from stileloft.protocol.messages import BUSY, EXITED, NO_ROOM, RUNNING, UNKNOWN, WAITING, Report, TaskReport
 from stileloft.protocol.workers import NotDelivered, Uncertain
 
 if TYPE_CHECKING:
@@ -91,7 +92,7 @@
                 unseen.pop(key, None)
                 if placement.state != ENDED:
                     self._take_state(machine, placement, task, now)
-            elif task.state == "exited":
+            elif task.state == EXITED:
                 self.forget_later(machine, task.task, task.attempt, task.why == "done")
             else:
                 strays[task.task] = self._stray(key[0], task)
@@ -123,12 +124,15 @@
 
     def _take_state(self, machine: Machine, placement: Placement, task: TaskReport, now: float) -> None:
         term = self.term
-        if task.state != "exited":
+        if task.state != EXITED:
             if placement.seen != task.state:
                 placement.seen = task.state
                 machine.view = None
                 job = term.jobs.get(placement.job)
-                if task.state == "running":
+                if task.state == WAITING and job is not None:
+                    # It has its image and waits for the others of its gang: placed, but not begun.
+                    term.fleet.has_image(machine, job.spec.image)
+                if task.state == RUNNING:
                     if placement.running_since is None:
                         placement.running_since = now
                     if job is not None:
@@ -137,23 +141,21 @@
                         term.dirty[job.id] = None
                         term.ledger.later(0.25)
             return
-        placement.seen = "exited"
+        placement.seen = EXITED
         if task.why == "done":
             term.completed(machine, placement, now)
             return
         if task.why == "error":
             term.failed(machine, placement)
-        elif task.why == "full":
+        elif task.why == NO_ROOM:
             log.info("task %s did not fit on %s", placement.task, machine.id)
             term.avoid(placement, machine.id, 2 * self.report_s)
-        elif task.why == "no_such":
+        elif task.why == UNKNOWN:
             log.info("task %s is not known to %s", placement.task, machine.id)
             term.delay(placement.job, self.report_s / 2)
-        elif task.why in ("mates_gone", "incomplete"):
-            # Its gang comes again as a whole, once all of it has ended.
-            log.info("task %s left its gang on %s: %s", placement.task, machine.id, task.why)
-            term.delay(placement.job, self.report_s)
-        elif task.why == "in_use":
+        # Of a gang that lost a task, or did not get together, the whole comes again at once. That says nothing
+        # against this machine.
+        elif task.why == BUSY:
             # The other attempt is listed too, and is stopped as a stray; meanwhile go elsewhere.
             log.info("task %s is on %s with another attempt", placement.task, machine.id)
             term.avoid(placement, machine.id, term.settings.workers.lease_s)
@@ -200,9 +202,12 @@
             return []
         # A start without an answer may be executed at any later time. One that is to be stopped by
         # now is repeated too: only a task that was seen can be told to exit, and so be let go.
-        return [p for p in machine.placements.values()
-                if p.state == BOUND and p.seen is None and not term.is_over(p.job)
-                and (p.stop_grace is None or p.sent_session == machine.session)]
+        found = [p for p in machine.placements.values()
+                 if p.state == BOUND and p.seen is None and not term.is_over(p.job)
+                 and (p.stop_grace is None or p.sent_session == machine.session)]
+        # None of a gang is started before all of it is known to be placed. One that is to be stopped is repeated.
+        ready = {job_id: gangs.may_start(term.jobs[job_id]) for job_id in {p.job for p in found}}
+        return [p for p in found if p.stop_grace is not None or ready[p.job]]
 
     def _stops(self, machine: Machine) -> list[dict[str, Any]]:
         now = self.term.clock.seconds()
--- a/stileloft/coordination/fleet.py
+++ b/stileloft/coordination/fleet.py
@@ -11,7 +11,7 @@
 from stileloft.coordination.scaling import Offer, Plan
 from stileloft.protocol.cloud import RELEASE_LIMIT, CloudTrouble, NoCapacity
 from stileloft.protocol.messages import ListedMachine
-from stileloft.protocol.state import Conflict, Unavailable, Unknown
+from stileloft.protocol.state import Conflict, TooLarge, Unavailable, Unknown
 
 if TYPE_CHECKING:
     from stileloft.coordination.leader import Term
@@ -313,13 +313,20 @@
         """
         term = self.term
         now = term.wall()
+        whole = {"t": round(now, 1), "o": list(offer), "m": machines}
+        if len(machines) > 1 and records.size_of(whole) > term.limits.value_bytes:
+            for half in (machines[: len(machines) // 2], machines[len(machines) // 2:]):
+                await self._store_rental(offer, half)
+            return
         if not term.writes.take(1.0):
             return
         slot = next(n for n in range(len(self.rented_slots) + 1) if self.rented_slots.get(n, 0.0) < now)
         self.rented_slots[slot] = now + self.listed_s
-        value = {"t": round(now, 1), "o": list(offer), "m": machines}
         try:
-            await term.state.commit({records.LEADER: term.token}, {records.rented_key(slot): value}, [])
+            await term.state.commit({records.LEADER: term.token}, {records.rented_key(slot): whole}, [])
+        except TooLarge:
+            term.limits.refused(1)
+            await self._store_rental(offer, machines)
         except (Conflict, Unavailable, Unknown) as error:
             log.debug("recording a rental: %s", error)
 
@@ -353,21 +360,32 @@
             await term.sleep(IMAGES_S)
             if not term.confirmed():
                 continue
-            changed = [m for m in term.machines.values() if not m.images_stored][: term.settings.state.txn_ops // 2]
-            dropped = sorted(self._images_dropped)[: term.settings.state.txn_ops // 2]
+            half = max(1, term.limits.ops // 2)
+            changed = [m for m in term.machines.values() if not m.images_stored][:half]
+            dropped = sorted(self._images_dropped)[:half]
             count = len(changed) + len(dropped)
             if not count or term.writes.level() < 2 * count or not term.writes.take(count):
                 continue
-            puts = {records.IMAGES + m.id: list(m.images) for m in changed}
+            puts = {records.IMAGES + m.id: self._recorded_images(m) for m in changed}
             try:
                 await term.state.commit({records.LEADER: term.token}, puts, [records.IMAGES + m for m in dropped])
+            except TooLarge:
+                term.limits.refused(count)
+                continue
             except (Conflict, Unavailable, Unknown) as error:
                 log.debug("recording images: %s", error)
                 continue
             for machine in changed:
-                machine.images_stored = len(machine.images) == len(puts[records.IMAGES + machine.id])
+                machine.images_stored = puts[records.IMAGES + machine.id] == self._recorded_images(machine)
             self._images_dropped -= set(dropped)
 
+    def _recorded_images(self, machine: Machine) -> list[str]:
+        """The images that a machine has, the ones used last, as far as a value holds them."""
+        images = list(machine.images)
+        while records.size_of(images) > self.term.limits.value_bytes:
+            images = images[1 + len(images) // 8:]
+        return images
+
     def load_rental(self, key: str, value: dict[str, Any]) -> None:
         """Takes in what a former leader rented, unless the cloud's list shows it by now."""
         term = self.term
--- /dev/null
+++ b/stileloft/coordination/gangs.py
@@ -0,0 +1,246 @@
+"""Gangs: all tasks of such a job run at the same time, or none does.
+
+What becomes of a gang follows from the placements that are stored. Its tasks get
+one attempt number and are started once all of them are placed; when one of them is
+lost, the rest is stopped, and the whole comes again under a higher number after
+every old task is surely off its machine. So a leader that finds a part of a gang
+never has to guess whether it was started.
+
+The second half are decisions on a snapshot: where a gang goes, what room is kept
+for it, and what goes with it when one of its tasks is to make room.
+"""
+
+import enum
+from collections.abc import Callable, Iterable
+from typing import Any, Protocol
+
+from stileloft.bookkeeping.model import ENDED, PLANNED, Job, Placement
+from stileloft.coordination.snapshot import (
+    Hold,
+    Node,
+    Nomination,
+    Running,
+    Snapshot,
+    Usage,
+    Waiting,
+    allowed,
+    whole_within_limit,
+    zone_allowed,
+)
+from stileloft.protocol.messages import JobSpec
+
+EXPECTED = "expected"
+"""In place of a job's id: the nomination of a task that has not been submitted yet."""
+MANY = 1_000_000
+
+
+class Stage(enum.Enum):
+    WAITING = "waiting"
+    """Nothing of it is placed."""
+    BINDING = "binding"
+    """All of it is placed, but not all of that is stored."""
+    WHOLE = "whole"
+    """All of it is placed in the store under one attempt: its tasks may be started."""
+    BROKEN = "broken"
+    """Some of it is missing: what is left has to go."""
+    COMPLETED = "completed"
+    """One of its tasks is done, and so all are."""
+
+
+def stage(job: Job) -> Stage:
+    placements = list(job.placements())
+    if job.done or any(p.done for p in placements):
+        return Stage.COMPLETED
+    if not placements:
+        return Stage.WAITING
+    if (len(placements) < job.spec.tasks or any(p.state == ENDED for p in placements)
+            or len({p.attempt for p in placements}) > 1):
+        return Stage.BROKEN
+    return Stage.BINDING if any(p.state == PLANNED for p in placements) else Stage.WHOLE
+
+
+def completed(job: Job) -> bool:
+    return stage(job) is Stage.COMPLETED
+
+
+def may_start(job: Job) -> bool:
+    """Whether a task of the job may be started: one of a gang only with all the others."""
+    return not job.spec.is_gang or stage(job) is Stage.WHOLE
+
+
+def left_over(job: Job) -> list[Placement]:
+    """What is still placed of a gang that has lost a task."""
+    return [p for p in job.placements() if p.state != ENDED] if stage(job) is Stage.BROKEN else []
+
+
+def next_attempt(job: Job) -> int:
+    """Members find each other by a common attempt, which is above all that any had."""
+    planned = next((p.attempt for p in job.placements() if p.state == PLANNED), None)
+    return planned or 1 + max((chunk.attempt for chunk in job.chunks.values()), default=0)
+
+
+# -- decisions ---------------------------------------------------------------------
+
+
+class Ordered(Protocol):
+    """The machines that have room for a job's tasks, the best first."""
+
+    def best(self) -> Node | None: ...
+    def changed(self, machine: str) -> None: ...
+
+
+def slots(spec: JobSpec, cpus: float, gpus: float, memory_gb: float) -> int:
+    """How many of a job's tasks fit into this room."""
+    return max(0, min(
+        int((cpus + 1e-6) / spec.cpus) if spec.cpus else MANY,
+        int((memory_gb + 1e-6) / spec.memory_gb) if spec.memory_gb else MANY,
+        int((gpus + 1e-6) / spec.gpus) if spec.gpus else MANY))
+
+
+def free_slots(spec: JobSpec, node: Node) -> int:
+    return slots(spec, node.cpus, node.gpus, node.memory_gb)
+
+
+def by_zone(spec: JobSpec, nodes: Iterable[Node]) -> dict[str, list[Node]]:
+    """Machines that the job may use, by the zones of which one is to take all of it, or under one name."""
+    found: dict[str, list[Node]] = {}
+    for node in nodes:
+        if allowed(spec, node):
+            found.setdefault(node.zone if spec.one_zone else "", []).append(node)
+    return found
+
+
+def find_place(job: Waiting, snapshot: Snapshot, nodes: Iterable[Node], ordered: Callable[[list[Node]], Ordered],
+               fetch_time: Callable[[JobSpec, Node], float]) -> list[tuple[int, Node]] | None:
+    """A machine for each task of a gang, in the zone where its last image is there first; None if there is none.
+
+    Works on the snapshot, which is as before when it returns.
+    """
+    spec = job.spec
+    if any(job.zones.values()):
+        return None  # the rest of it is ending: it comes again as a whole
+    used = snapshot.usage.setdefault(spec.team, Usage())
+    if not whole_within_limit(spec, snapshot.teams.get(spec.team), used, job.count):
+        return None
+    best: tuple[tuple[float, str], list[tuple[int, Node]]] | None = None
+    for zone, there in sorted(by_zone(spec, nodes).items()):
+        if sum(free_slots(spec, node) for node in there) < job.count:
+            continue
+        taken, images_s = _fill(job, snapshot, ordered(there), fetch_time)
+        if len(taken) == job.count and (best is None or (images_s, zone) < best[0]):
+            best = (images_s, zone), taken
+    return best[1] if best else None
+
+
+def _fill(job: Waiting, snapshot: Snapshot, machines: Ordered, fetch_time: Callable[[JobSpec, Node], float]
+          ) -> tuple[list[tuple[int, Node]], float]:
+    spec = job.spec
+    taken: list[tuple[int, Node, Running]] = []
+    images_s = 0.0
+    for index in job.tasks:
+        target = machines.best()
+        if target is None:
+            break
+        images_s = max(images_s, fetch_time(spec, target))
+        node = snapshot.own(target.id)
+        task = Running((spec.id, index), spec, spec.team, spec.rank, spec.cpus, spec.gpus or 0.0, spec.memory_gb)
+        node.take(task)
+        job.zones[node.zone] = job.zones.get(node.zone, 0) + 1
+        taken.append((index, node, task))
+        machines.changed(node.id)
+    for _, node, task in taken:
+        node.give(task)
+        job.zones[node.zone] -= 1
+    return [(index, node) for index, node, _ in taken], images_s
+
+
+def hold_room(job: Waiting, snapshot: Snapshot) -> None:
+    """Keeps the room that a gang will have first, so that small tasks don't fill each hole before it can begin."""
+    spec = job.spec
+    best: tuple[float, str, list[tuple[float, Node]]] | None = None
+    up = [node for node in snapshot.nodes.values()
+          if node.up and node.ready and node.id not in snapshot.holds and node.id not in job.avoid]
+    for zone, there in by_zone(spec, up).items():
+        coming: list[tuple[float, str, Node]] = []
+        for node in there:
+            cpus, gpus, memory_gb = node.cpus, node.gpus, node.memory_gb
+            had = free_slots(spec, node)
+            coming += [(0.0, node.id, node)] * min(had, job.count)
+            for task in node.by_end():
+                cpus, gpus, memory_gb = cpus + task.cpus, gpus + task.gpus, memory_gb + task.memory_gb
+                has = slots(spec, cpus, gpus, memory_gb)
+                coming += [(task.remaining_s, node.id, node)] * min(has - had, job.count)
+                had = max(had, has)
+        coming.sort(key=lambda item: item[:2])
+        if len(coming) < job.count:
+            continue
+        chosen = [(at, node) for at, _, node in coming[:job.count]]
+        if best is None or (chosen[-1][0], zone) < best[:2]:
+            best = chosen[-1][0], zone, chosen
+    if best is None:
+        return
+    until_s, _, chosen = best
+    for node in {node.id: node for _, node in chosen}.values():
+        mine = [at for at, other in chosen if other is node]
+        cpus, gpus, memory_gb = node.cpus, node.gpus, node.memory_gb
+        for task in node.by_end():
+            if task.remaining_s <= max(mine):
+                cpus, gpus, memory_gb = cpus + task.cpus, gpus + task.gpus, memory_gb + task.memory_gb
+        snapshot.holds[node.id] = Hold(
+            until_s, cpus - len(mine) * spec.cpus, gpus - len(mine) * (spec.gpus or 0.0),
+            memory_gb - len(mine) * spec.memory_gb, spec.id if job.first else "")
+
+
+def expect(snapshot: Snapshot) -> list[Nomination]:
+    """Room for gangs that are about to come: nominations that only more pressing work passes over.
+
+    A waiting gang stops nobody, so it begins at once only where room is free.
+    """
+    found: list[Nomination] = []
+    taken: dict[str, int] = {}
+    for spec, count in snapshot.expected:
+        zones = by_zone(spec, (node for node in snapshot.nodes.values() if node.up and node.ready))
+        rooms = {zone: [(free_slots(spec, node) - taken.get(node.id, 0), node.id) for node in there]
+                 for zone, there in zones.items()}
+        if not rooms:
+            continue
+        zone = max(rooms, key=lambda zone: (min(count, sum(max(0, room) for room, _ in rooms[zone])), zone))
+        for room, name in sorted(rooms[zone], reverse=True):
+            for _ in range(min(room, count)):
+                found.append(Nomination((EXPECTED, len(found)), name, spec.rank, spec, 0.0))
+                taken[name] = taken.get(name, 0) + 1
+                count -= 1
+    return found
+
+
+def beside(job: Waiting, nominated: Iterable[Nomination]) -> list[Nomination]:
+    """The nominations that a gang has to leave room for: not that of gangs like it that are expected."""
+    return [n for n in nominated if n.key[0] != EXPECTED or (n.rank > job.spec.rank and not job.first)]
+
+
+def leave(snapshot: Snapshot, victims: Iterable[Running]) -> list[str]:
+    """Marks all tasks of the victims' gangs as being stopped, on their other machines too; returns these."""
+    jobs = {task.key[0] for task in victims if task.together > 1}
+    changed = []
+    for name in [n.id for n in snapshot.nodes.values() if jobs and any(task.key[0] in jobs for task in n.tasks)]:
+        node = snapshot.own(name)
+        node.leave([task for task in node.tasks if task.key[0] in jobs])
+        changed.append(name)
+    return changed
+
+
+def units(tasks: Iterable[Running]) -> list[list[Running]]:
+    """Tasks of one machine in the groups that go together: a gang is one victim."""
+    found: dict[Any, list[Running]] = {}
+    for task in tasks:
+        found.setdefault(task.key[0] if task.together > 1 else task.key, []).append(task)
+    return list(found.values())
+
+
+def shortage(spec: JobSpec, count: int, nodes: Iterable[Node], zones: Iterable[str]) -> list[tuple[int, str]]:
+    """How many tasks of a gang would find no room, by zone, the least first."""
+    there = by_zone(spec, nodes)
+    lacks = {zone: count - sum(free_slots(spec, node) for node in there.get(zone if spec.one_zone else "", ()))
+             for zone in zones if zone_allowed(spec, {}, zone) and spec.zone in (None, zone)}
+    return [(lack, zone) for lack, _, zone in sorted(
+        (max(0, lack), -len(there.get(zone, ())), zone) for zone, lack in lacks.items())]
--- a/stileloft/coordination/leader.py
+++ b/stileloft/coordination/leader.py
@@ -22,11 +22,11 @@
     job_from_record,
     orphan_spec,
 )
+from stileloft.coordination import gangs, scaling
 from stileloft.coordination import placement as placing
-from stileloft.coordination import scaling
 from stileloft.coordination.dispatch import Dispatch
 from stileloft.coordination.fleet import Fleet
-from stileloft.coordination.ledger import Entry, Ledger
+from stileloft.coordination.ledger import Entry, Ledger, Limits
 from stileloft.coordination.placement import Decision
 from stileloft.coordination.snapshot import (
     EPSILON,
@@ -40,8 +40,8 @@
     within_limit,
     zone_allowed,
 )
-from stileloft.protocol.messages import JobSpec, MachineType, Report, orders
-from stileloft.protocol.state import Compacted, Unavailable, Unknown
+from stileloft.protocol.messages import EXITED, JobSpec, MachineType, Report, orders
+from stileloft.protocol.state import Compacted, Conflict, Unavailable, Unknown
 
 if TYPE_CHECKING:
     from stileloft.coordination import node as nodes
@@ -62,6 +62,8 @@
 AGED_LEAST = 0.25
 CROWD_PART = 0.9
 PLAN_S = 2.0
+# How often the other controllers are asked which format they read, until all read the newest.
+FORMAT_S = 1.0
 WATCH_S = 4.0
 # What one round places, as a multiple of the changes in a transaction.
 PLACED_TXNS = 2
@@ -127,7 +129,7 @@
         self.avoided: dict[tuple[str, str], float] = {}
         self.ratios: dict[str, float] = {}
         self.classes: dict[str, ClassLoad] = {}
-        self.chunk_size = records.chunk_size(self.settings.state.value_kb)
+        self.limits = Limits(self.settings.state)
         self.ledger = Ledger(self)
         self.dispatch = Dispatch(self)
         self.fleet = Fleet(self)
@@ -202,6 +204,7 @@
                  self.clock.seconds() - self.started_at)
         defer.ensureDeferred(self._watch_loop())
         defer.ensureDeferred(self.fleet.images_loop())
+        defer.ensureDeferred(self._format_loop())
         self._check()
         self.poke()
 
@@ -215,18 +218,19 @@
         with self.lock:
             self.jobs.clear()
             for _, value, version in sorted(active, key=lambda item: item[1]["t"]):
-                job = job_from_record(value, version, self.chunk_size)
-                self.jobs[job.id] = job
-                self._learn(job)
-            for key, value, version in chunks:
-                job_id, number = records.split_chunk_key(key)
+                self._adopt(job_from_record(value, version, self.node.first_chunk_size))
+            by_job: dict[str, list[tuple[str, Any, int]]] = {}
+            for item in chunks:
+                by_job.setdefault(records.split_chunk_key(item[0])[0], []).append(item)
+            for job_id, items in by_job.items():
                 found = self.jobs.get(job_id)
                 if found is None:
-                    found = Job(orphan_spec(job_id, value["r"]), 0.0, self.chunk_size)
+                    nothing: dict[str, Any] = {"r": ["-", 0.0, 0.0, 0.0]}
+                    whole = next((value for _, value, _ in items if "r" in value), nothing)
+                    found = Job(orphan_spec(job_id, whole["r"]), 0.0, whole.get("n", self.node.first_chunk_size))
                     found.over = "cancelled"
                     self.jobs[job_id] = found
-                if number not in found.done_chunks:
-                    found.load_chunk(number, value, version)
+                found.load_chunks(items)
             for job in self.jobs.values():
                 job.recount()
                 for placement in job.placements():
@@ -235,6 +239,8 @@
                     self._stop_all(job)
                     if not job.placed:
                         self._drop_chunks(job)
+                elif job.spec.is_gang:
+                    self.review_gang(job)
             for key, value, _ in rented:
                 self.fleet.load_rental(key, value)
             for key, value, _ in images:
@@ -277,10 +283,9 @@
         if value is not None:
             if job is None and job_id not in self._dropped:
                 with self.lock:
-                    job = job_from_record(value, version, self.chunk_size)
+                    job = job_from_record(value, version, self.node.first_chunk_size)
                     job.recount()
-                    self.jobs[job_id] = job
-                    self._learn(job)
+                    self._adopt(job)
                 self.poke()
             return
         if job is None or job.over:
@@ -292,6 +297,49 @@
         else:
             self.clock.callLater(0.05, self._on_change, job_id, None, version)
 
+    def _adopt(self, job: Job) -> None:
+        """Takes in an accepted job."""
+        self.jobs[job.id] = job
+        self._learn(job)
+        most = records.tasks_in(self.limits.value_bytes)
+        if self.node.format >= 1:
+            if not job.size_stored:
+                self.dirty[job.id] = None
+        elif most < job.size:
+            # Its chunks must have one record each, within the limit to come.
+            job.most_placed = most
+
+    async def _format_loop(self) -> None:
+        """Has the newest format written once all controllers have said, now, that they read it.
+
+        Each says so by itself; none is taken to do so because it is silent. A process that has not been
+        replaced yet says nothing of the kind, whatever it was before, so it holds the change back.
+        """
+        others = {peer.member for peer in self.node.settings.peers}
+        while self.alive and self.node.format < records.NEWEST_FORMAT:
+            members = {view.member for view in await self.node.peers.views() if view.reads >= records.NEWEST_FORMAT}
+            if members >= others and len(others) + 1 >= self.settings.size and self.confirmed():
+                value = {"format": records.NEWEST_FORMAT, "members": sorted({self.node.settings.member, *others})}
+                try:
+                    await self.state.commit({records.LEADER: self.token, records.FORMAT: 0},
+                                            {records.FORMAT: value}, [])
+                except Conflict:
+                    pass  # a former leader did it, or another leads: the node reads it
+                except (Unavailable, Unknown) as error:
+                    log.debug("changing the format: %s", error)
+                else:
+                    self.node.take_format(records.NEWEST_FORMAT)
+            await self.sleep(FORMAT_S)
+
+    def format_changed(self) -> None:
+        """Records may be written in the newest format from now on."""
+        with self.lock:
+            for job in self.jobs.values():
+                job.most_placed = None
+                if not job.over and not job.size_stored:
+                    self.dirty[job.id] = None
+        self.poke()
+
     def _learn(self, job: Job) -> None:
         """Keeps what a class's jobs are like and how often they come, for headroom."""
         load = self.classes.get(job.spec.job_class)
@@ -361,8 +409,27 @@
             self.touch(job)
             if placement.done:
                 self.ledger.gather(job, pressing)
+            if job.spec.is_gang:
+                self.clock.callLater(0, self._review_later, job)
         self.ledger.later(0.0)
 
+    def _review_later(self, job: Job) -> None:
+        with self.lock:
+            if self.alive and self.jobs.get(job.id) is job:
+                self.review_gang(job)
+
+    def review_gang(self, job: Job) -> None:
+        """Ends what is left of a gang of which a task is done, or lost."""
+        if job.over or job.reload:
+            return
+        if gangs.completed(job):
+            for placement in list(job.placements()):
+                placement.done = True
+                self.end(placement, "done, as one of its gang is")
+            self.touch(job)
+        for placement in gangs.left_over(job):
+            self._stop_one(placement, 0.0 if placement.stop_grace is None else None)
+
     def cleared(self, placement: Placement) -> None:
         """The store holds the placement no longer."""
         machine = self.machines.get(placement.machine)
@@ -371,7 +438,7 @@
         machine.view = None
         if machine.placements.get(placement.key) is placement:
             del machine.placements[placement.key]
-        if placement.seen == "exited":
+        if placement.seen == EXITED:
             self.dispatch.forget_later(machine, placement.task, placement.attempt, placement.done)
         if not machine.placements and not machine.strays and machine.idle_since is None:
             machine.idle_since = self.clock.seconds()
@@ -383,7 +450,7 @@
             job.errors.clear()
             took = now - placement.running_since
             # Attempts are counted per chunk: beyond its length, a task may have run before and saved.
-            if placement.attempt <= job.chunk_length(placement.index // self.chunk_size):
+            if job.spec.is_gang or placement.attempt <= job.chunk_length(placement.index // job.size):
                 if not job.durations:  # one sample a job, however many tasks it has
                     ratio = min(4.0, max(0.1, took / job.spec.estimate_s))
                     known = self.ratios.get(job.spec.job_class, 1.0)
@@ -417,7 +484,7 @@
         if (len(honest) >= ERRORS_FAULTY or (honest and machine.error_count > 4)) and machine.draining is None:
             log.info("machine %s fails tasks of %d jobs: emptying it", machine.id, len(machine.errors))
             machine.draining = "it fails tasks"
-            for other in machine.placements.values():
+            for other in list(machine.placements.values()):
                 self.stop(other)
 
     def avoid(self, placement: Placement, machine_id: str, seconds: float) -> None:
@@ -430,7 +497,13 @@
             self.clock.callLater(seconds, self.poke)
 
     def stop(self, placement: Placement, grace_s: float | None = None) -> None:
-        """Has a task stopped, with time to save if it can."""
+        """Has a task stopped, with time to save if it can; one of a gang with all the others, side by side."""
+        job = self.jobs.get(placement.job)
+        together = list(job.placements()) if job is not None and job.spec.is_gang else [placement]
+        for each in together:
+            self._stop_one(each, grace_s)
+
+    def _stop_one(self, placement: Placement, grace_s: float | None) -> None:
         if placement.state == PLANNED:
             self.end(placement, "not needed there")
             return
@@ -438,6 +511,8 @@
             return
         job = self.jobs.get(placement.job)
         save_s = (job.spec.save_s or 0.0) if job is not None and (job.spec.checkpoint_s or 0.0) > 0 else 0.0
+        if job is not None and job.spec.is_gang and save_s:
+            save_s += self.settings.workers.gang_peer_s  # one that has saved waits for the others
         placement.stop_grace = save_s * 1.2 + 0.5 if grace_s is None else grace_s
         placement.stop_at = 0.0
         machine = self.machines.get(placement.machine)
@@ -448,7 +523,7 @@
     def wind_down(self, machine: Machine, now: float) -> None:
         """Empties a machine that the cloud takes away, so that as little as possible is lost."""
         left = (machine.notice_until or now) - now
-        for placement in machine.placements.values():
+        for placement in list(machine.placements.values()):
             job = self.jobs.get(placement.job)
             if placement.stop_grace is not None or job is None:
                 continue
@@ -595,22 +670,22 @@
         with self.lock:
             snapshot = self.snapshot()
             refused = self.fleet.refused_now()
-            headroom = self._headroom()
+            headroom = self._headroom(gang=False)
             busy = any(not self._ended(load) for load in self.classes.values())
-        max_placed = PLACED_TXNS * self.settings.state.txn_ops
+        max_placed = PLACED_TXNS * self.settings.state.txn_ops  # many of them share a change
         decision = placing.decide(snapshot, max_placed, MAX_EVICTIONS)
         plan = None
         if scale:
             plan = scaling.plan(snapshot, decision.unmet, refused, headroom, busy, self.node.operator_settings)
         return decision, plan
 
-    def _headroom(self) -> list[tuple[JobSpec, int]]:
+    def _headroom(self, gang: bool) -> list[tuple[JobSpec, int]]:
         """Tasks that should find room at once: of classes for which a rental would come too late."""
         found = []
         settings = self.node.operator_settings
         for name, load in sorted(self.classes.items()):
             spec = load.spec
-            if self._ended(load):
+            if self._ended(load) or spec.is_gang is not gang:
                 continue
             if name in self.wait_goals:
                 factor = settings.headroom_wait
@@ -668,6 +743,8 @@
             used.gpus += (job.spec.gpus or 0.0) * job.placed
             if job.waiting <= 0 or job.not_before > now or job.reload:
                 continue
+            if job.spec.is_gang and job.placed:
+                continue  # the rest of it is ending: it comes again as a whole
             count = job.waiting
             tasks = job.free_tasks(count if job.spec.is_gang else TASKS_OFFERED if not job.errors else 1)
             if stray_tasks:
@@ -676,7 +753,8 @@
             waiting.append(Waiting(job.spec, job.submitted, count, tasks, dict(job.zones),
                                    self.estimate(job.spec), self.wait_goals.get(job.spec.job_class), avoid,
                                    self._aged(job, aged_s), begun=job.begun))
-        return Snapshot(self.wall(), copies, waiting, self.teams, usage, dict(self.nominations), types)
+        return Snapshot(self.wall(), copies, waiting, self.teams, usage, dict(self.nominations), types,
+                        self._headroom(gang=True))
 
     def _view(self, machine: Machine, kind: MachineType, now: float) -> Node:
         """The machine's copy for the decisions; made anew when it has changed, or its times have become old."""
@@ -716,7 +794,8 @@
                 placement.key, spec, spec.team, SHIELDED if placement.shielded else spec.rank, spec.cpus,
                 spec.gpus or 0.0, spec.memory_gb, unsaved, self.remaining(job, placement, now),
                 leaving=placement.stop_grace is not None,
-                safe=not spec.is_service and job.stopped_for_others < spec.tasks))
+                safe=not spec.is_service and job.stopped_for_others < spec.tasks,
+                together=spec.tasks if spec.is_gang else 1))
         for task, stray in machine.strays.items():
             copy.tasks.append(Running((task, -1), None, stray.team, SHIELDED, stray.cpus, stray.gpus, stray.memory_gb,
                                       leaving=True))
@@ -805,8 +884,8 @@
                 or not machine.trusted or f"{key[0]}/{key[1]}" in stray_tasks):
             return
         index = key[1]
-        chunk = job.chunks.get(index // self.chunk_size)
-        if index // self.chunk_size in job.done_chunks:
+        chunk = job.chunks.get(index // job.size)
+        if index // job.size in job.done_chunks:
             return
         if chunk is not None and (index in chunk.done or index in chunk.placements):
             return
@@ -823,14 +902,8 @@
             return
         used.cpus += spec.cpus
         used.gpus += spec.gpus or 0.0
-        chunk = job.chunks.setdefault(index // self.chunk_size, Chunk())
-        if spec.is_gang:
-            # Members find each other by a common attempt, which is above all that any had.
-            chunk.attempt = max(
-                (p.attempt for p in job.placements() if p.state == PLANNED),
-                default=1 + max(other.attempt for other in job.chunks.values()))
-        else:
-            chunk.attempt += 1
+        chunk = job.chunks.setdefault(index // job.size, Chunk())
+        chunk.attempt = gangs.next_attempt(job) if spec.is_gang else chunk.attempt + 1
         chunk.dirty = True
         placement = Placement(job.id, index, chunk.attempt, machine_id, machine.zone, machine.spot, PLANNED,
                               shielded=shielded)
@@ -845,7 +918,7 @@
     def _check_gang(self, job_id: str) -> None:
         """Takes a gang back if not all of it could be placed."""
         job = self.jobs.get(job_id)
-        if job is not None and job.spec.is_gang and job.waiting:
+        if job is not None and job.spec.is_gang and gangs.stage(job) is gangs.Stage.BROKEN:
             for placement in list(job.placements()):
                 if placement.state == PLANNED:
                     self.end(placement, "its gang is not complete")
@@ -859,13 +932,13 @@
         longest = 0.0
         for victim in eviction.victims:
             placement = machine.placements.get(victim.key)
-            if placement is None:
-                continue
+            if placement is None or placement.stop_grace is not None:
+                continue  # a gang is stopped with the first of its tasks
             log.info("task %s on %s is stopped to make room for %s/%d", placement.task, machine.id, key[0], key[1])
             self.stop(placement)
             stopped = self.jobs.get(placement.job)
             if stopped is not None:
-                stopped.stopped_for_others += 1
+                stopped.stopped_for_others += victim.together
             longest = max(longest, placement.stop_grace or 0.0)
         for other in [k for k, n in self.nominations.items() if n.machine == machine.id and n.rank < job.spec.rank]:
             del self.nominations[other]
--- a/stileloft/coordination/ledger.py
+++ b/stileloft/coordination/ledger.py
@@ -13,7 +13,9 @@
 
 from stileloft.bookkeeping import records
 from stileloft.bookkeeping.model import BOUND, ENDED, PLANNED, Job, Placement
-from stileloft.protocol.state import Conflict, Unavailable, Unknown
+from stileloft.coordination import gangs
+from stileloft.protocol.state import Conflict, TooLarge, Unavailable, Unknown
+from stileloft.settings import State
 
 if TYPE_CHECKING:
     from stileloft.coordination.leader import Term
@@ -23,6 +25,8 @@
 # A transaction may hold 64 KiB; the rest is for its keys and guards.
 TXN_BYTES = 40 * 1024
 IN_FLIGHT = 3
+# Conditions of a transaction, as a multiple of its changes.
+GUARDS = 4
 # The state that users see may lag by 3 s.
 COUNTS_S = 1.2
 LATE_S = 2.4
@@ -32,6 +36,13 @@
 REFUSED_S = 0.3
 # Completed tasks of a job are gathered for this long into one change; their room is free at once.
 GATHER_S = 1.2
+# What nothing waits for is written while so much of the budget is left.
+LEISURE = 0.75
+# Finished chunks are folded into the job's record without measuring it while it has at most so many ranges.
+FEW_RANGES = 8
+# Limits are not believed to be below these: a job's end takes two changes.
+LEAST_OPS = 2
+LEAST_VALUE_BYTES = 512
 
 
 @dataclass(slots=True)
@@ -47,11 +58,33 @@
     written: list[int] = field(default_factory=list)
     finished: list[int] = field(default_factory=list)
     dropped: list[int] = field(default_factory=list)
+    parts: dict[int, list[Any]] = field(default_factory=dict)
+    """The further records of chunks that are written."""
     final: bool = False
     active: bool = False
     counts: tuple[int, int] = (0, 0)
     size: int = 0
 
+    @property
+    def changes(self) -> int:
+        return len(self.puts) + len(self.deletes)
+
+
+class Limits:
+    """What the store takes in a transaction and a value: the least of the limits known, or less if it refused that."""
+
+    def __init__(self, state: State) -> None:
+        least = state.least()
+        self.ops = least.txn_ops
+        self.value_bytes = least.value_bytes
+
+    def refused(self, changes: int) -> None:
+        """A transaction of so many changes was too large, by its number of changes or by one of its values."""
+        if changes > LEAST_OPS:
+            self.ops = max(LEAST_OPS, min(self.ops, changes) // 2)
+        else:
+            self.value_bytes = max(LEAST_VALUE_BYTES, self.value_bytes * 3 // 4)
+
 
 class Ledger:
     def __init__(self, term: "Term") -> None:
@@ -64,65 +97,108 @@
     # -- what to write --------------------------------------------------------
 
     def entry(self, job: Job, room: int) -> Entry | None:
-        """What is to be written about a job, in at most `room` puts and deletes."""
+        """What is to be written about a job, in at most `room` puts and deletes if they suffice for one chunk."""
         entry = Entry(job)
         now = self.term.clock.seconds()
+        ended_gang = job.spec.is_gang and not job.over and gangs.completed(job)
         done_after = job.done
-        active_changes = False
-        for number in [n for n, chunk in job.chunks.items() if chunk.dirty][: max(1, room - 2)]:
-            chunk = job.chunks[number]
-            ended = [p for p in chunk.placements.values() if p.state == ENDED]
-            live = [p for p in chunk.placements.values() if p.state != ENDED]
-            key = records.chunk_key(job.id, number)
-            entry.guards[key] = chunk.version
-            entry.ended += ended
-            completed = {p.index for p in ended if p.done}
-            done_after += len(completed - chunk.done)
-            if job.over:
-                # What is left of a cancelled job is recorded until it is gone.
-                if live:
-                    entry.puts[key] = chunk.record(job.spec)
-                    entry.written.append(number)
-                else:
-                    if chunk.stored:
-                        entry.deletes.append(key)
-                    entry.dropped.append(number)
-            elif not live and len(chunk.done | completed) == job.chunk_length(number):
-                if chunk.stored:
-                    entry.deletes.append(key)
-                entry.finished.append(number)
-                active_changes = True
-            else:
-                entry.puts[key] = chunk.record(job.spec)
-                entry.written.append(number)
-                entry.bound += [p for p in live if p.state == PLANNED]
+        for number in [n for n, chunk in job.chunks.items() if chunk.dirty]:
+            if entry.guards and entry.changes >= max(1, room - 2):
+                break
+            done_after += self._enter_chunk(entry, number, room)
         active = records.active_key(job.id)
         if job.over:
-            if not entry.puts and not entry.deletes:
-                if not entry.dropped:
-                    return None
-            return entry
+            return entry if entry.puts or entry.deletes or entry.dropped else None
         entry.guards[active] = job.version
         entry.counts = (done_after, job.running())
-        if done_after >= job.spec.tasks:
+        if ended_gang or done_after >= job.spec.tasks:
+            # One that completed means that all of a gang have. It is told in one step, whatever it is stored in;
+            # chunks that have no room beside it are dropped later, as are those of a cancelled job.
             entry.final = True
-            entry.puts[records.final_key(job.id)] = records.final_record("done", job.spec.tasks)
-            entry.deletes.append(active)
-        else:
-            phase_changes = (entry.counts[1] > 0) != (job.counts_stored[1] > 0)
-            # Each time the counts are told is a change more, so less often while the budget is short.
-            every_s = COUNTS_S if self.term.writes.level() > self.term.writes.per_s / 2 else LATE_S
-            stale = entry.counts != job.counts_stored and (phase_changes or now - job.counts_at > every_s)
-            if active_changes or stale:
-                record = job.record()
-                record["f"] = records.to_ranges(job.done_chunks | set(entry.finished))
-                record["c"] = list(entry.counts)
-                entry.puts[active] = record
-                entry.active = True
-            elif not entry.puts and not entry.deletes:
-                return None
+            entry.puts = {records.final_key(job.id): records.final_record("done", job.spec.tasks)}
+            entry.deletes = [active]
+            for number in entry.written + entry.finished:
+                keys = self._keys(job, number) if job.chunks[number].stored else []
+                if entry.changes + len(keys) <= room or not keys:
+                    entry.deletes += keys
+                    entry.dropped.append(number)
+            entry.written, entry.finished = [], []
+            return entry
+        phase_changes = (entry.counts[1] > 0) != (job.counts_stored[1] > 0)
+        # Each time the counts are told is a change more, so less often while the budget is short.
+        every_s = COUNTS_S if self.term.writes.level() > self.term.writes.per_s / 2 else LATE_S
+        stale = entry.counts != job.counts_stored and (phase_changes or now - job.counts_at > every_s)
+        sized = self.term.node.format >= 1
+        if entry.finished or stale or (sized and not job.size_stored and self._at_leisure()):
+            record = job.record(sized)
+            record["f"] = records.to_ranges(job.done_chunks | set(entry.finished))
+            record["c"] = list(entry.counts)
+            entry.puts[active] = record
+            entry.active = True
+        elif not entry.puts and not entry.deletes:
+            return None
         return entry
 
+    def _at_leisure(self) -> bool:
+        """Whether there are changes to spare for what nothing waits for."""
+        return self.term.writes.level() > LEISURE * self.term.writes.per_s
+
+    def _enter_chunk(self, entry: Entry, number: int, room: int) -> int:
+        """Adds a chunk to a job's part of a transaction; returns how many tasks of it are newly done."""
+        job = entry.job
+        chunk = job.chunks[number]
+        key = records.chunk_key(job.id, number)
+        ended = [p for p in chunk.placements.values() if p.state == ENDED]
+        live = [p for p in chunk.placements.values() if p.state != ENDED]
+        completed = {p.index for p in ended if p.done}
+        entry.guards[key] = chunk.version
+        entry.ended += ended
+        if job.over and not live:
+            if chunk.stored:
+                entry.deletes += self._keys(job, number)
+            entry.dropped.append(number)
+            return 0
+        # What is left of a cancelled job is recorded until it is gone.
+        if (not job.over and not live and len(chunk.done | completed) == job.chunk_length(number)
+                and self._foldable(job, {*entry.finished, number})):
+            if chunk.stored:
+                entry.deletes += self._keys(job, number)
+            entry.finished.append(number)
+        else:
+            entry.written.append(number)
+            entry.bound += [p for p in live if p.state == PLANNED]
+            self._put_chunk(entry, number)
+        return len(completed - chunk.done)
+
+    def _put_chunk(self, entry: Entry, number: int) -> None:
+        job, chunk = entry.job, entry.job.chunks[number]
+        if self.term.node.format < 1:
+            entry.puts[records.chunk_key(job.id, number)] = chunk.record(job.spec)
+            return
+        values = chunk.records(job.spec, job.size, self.term.limits.value_bytes)
+        entry.puts[records.chunk_key(job.id, number)] = values[0]
+        entry.parts[number] = values[1:]
+        for part, value in enumerate(values[1:], 1):
+            version, stored = chunk.parts.get(part, (0, None))
+            key = records.part_key(job.id, number, part)
+            entry.guards[key] = version
+            if value != stored:
+                entry.puts[key] = value
+        for part in chunk.parts:
+            if part >= len(values):
+                entry.deletes.append(records.part_key(job.id, number, part))
+
+    @staticmethod
+    def _keys(job: Job, number: int) -> list[str]:
+        return [records.part_key(job.id, number, part) for part in (0, *job.chunks[number].parts)]
+
+    def _foldable(self, job: Job, finished: set[int]) -> bool:
+        """Whether the job's record has room for one more finished chunk; if not, the chunk's own record stays."""
+        ranges = records.to_ranges(job.done_chunks | finished)
+        if len(ranges) <= FEW_RANGES:
+            return True
+        return records.size_of(job.record(True) | {"f": ranges}) <= self.term.limits.value_bytes
+
     # -- writing --------------------------------------------------------------
 
     def flush(self) -> None:
@@ -130,7 +206,7 @@
         term = self.term
         if not term.alive or not term.confirmed():
             return
-        most = min(term.settings.state.txn_ops, int(term.writes.per_s))
+        most = min(term.limits.ops, int(term.writes.per_s))
         now = term.clock.seconds()
         if now < self._refused_until:
             # Reports ask for a flush many times a second: in an outage each would be a request in vain.
@@ -154,12 +230,13 @@
                 if level < least:
                     self.later((least - level) / term.writes.per_s)
                     break
-                limit = max(4, min(most, int(level)))  # what ends a job takes four
+                limit = max(min(4, most), min(most, int(level)))  # what ends a job takes four
                 batch: list[Entry] = []
                 ops = size = 0
+                guards = 1
                 rest: list[Job] = []
                 for job in waiting:
-                    if ops >= limit - 3:
+                    if ops >= max(1, limit - 3):
                         rest.append(job)
                         continue
                     job.looked_at = now
@@ -171,8 +248,9 @@
                             self._counts_later(job)
                         continue
                     entry.size = len(orjson.dumps([entry.puts, entry.guards]))
-                    more = len(entry.puts) + len(entry.deletes)
-                    if batch and (ops + more > limit or size + entry.size > TXN_BYTES):
+                    more = entry.changes
+                    guards += len(entry.guards)
+                    if batch and (ops + more > limit or size + entry.size > TXN_BYTES or guards > GUARDS * limit):
                         rest.append(job)
                         continue
                     batch.append(entry)
@@ -243,6 +321,17 @@
                     self._again(entry)
             self.flush()
             return
+        except TooLarge as error:
+            # The limits have become lower than was announced. Unchanged it would be refused for ever.
+            self.in_flight -= 1
+            term.limits.refused(len(puts) + len(deletes))
+            log.info("commit too large: %s; from now on %d changes and %d bytes a value", error, term.limits.ops,
+                     term.limits.value_bytes)
+            for entry in batch:
+                self._again(entry)
+            self._refused_until = term.clock.seconds() + REFUSED_S
+            self.later(REFUSED_S)
+            return
         except Unavailable as error:
             self.in_flight -= 1
             log.info("commit not executed: %s", error)
@@ -293,18 +382,23 @@
                 job.remove(placement)
             term.cleared(placement)
         for number in entry.written:
-            job.chunks[number].version = revision
-            job.chunks[number].stored = True
+            chunk = job.chunks[number]
+            chunk.version, chunk.stored = revision, True
+            chunk.parts = {part: (chunk.parts[part][0] if chunk.parts.get(part, (0, None))[1] == value else revision,
+                                  value) for part, value in enumerate(entry.parts.get(number, ()), 1)}
         for number in entry.finished:
             del job.chunks[number]
             job.done_chunks.add(number)
         for number in entry.dropped:
             del job.chunks[number]
         if entry.final:
+            job.done = job.spec.tasks
             term.job_over(job, "done")
-            term.drop_job(job)
+            if not job.chunks:
+                term.drop_job(job)
             return
         if entry.active:
+            job.size_stored = "n" in entry.puts[records.active_key(job.id)]
             job.version = revision
             job.counts_stored = entry.counts
             job.counts_at = now
@@ -337,15 +431,9 @@
             return
         with term.lock:
             before = list(job.placements())
-            old = job.chunks
-            stored = {records.split_chunk_key(key)[1]: (value, version) for key, value, version in chunks}
             if found is not None:
                 job.load_active(found[0], found[1])
-            job.chunks = {}
-            for number, (value, version) in stored.items():
-                if number in old:
-                    job.chunks[number] = old[number]
-                job.load_chunk(number, value, version)
+            job.load_chunks(chunks)
             job.recount()
             job.busy = job.reload = False
             kept = {id(p) for p in job.placements()}
@@ -362,6 +450,8 @@
                 term.job_over(job, phase)
                 if not job.chunks:
                     term.drop_job(job)
+            elif job.spec.is_gang:
+                term.review_gang(job)
         log.debug("read %s again: %s", job.id, phase or "active")
         self.flush()
         term.poke()
--- a/stileloft/coordination/node.py
+++ b/stileloft/coordination/node.py
@@ -97,10 +97,17 @@
         nodes = max(1, deployment.size)
         # One node may be down at any time, and the others then get its users.
         sharing = max(1, nodes - 1)
-        reads = Budget(reactor, deployment.state.rps * READS_SHARE / sharing)
-        writes = Budget(reactor, max(2.0, deployment.state.write_rps * USER_WRITES / sharing))
-        self.leader_writes = Budget(reactor, deployment.state.write_rps * LEADER_WRITES)
-        self.admission = Admission(reactor, self.state, self.teams, self, reads, writes, wall)
+        least = deployment.state.least()
+        reads = Budget(reactor, least.rps * READS_SHARE / sharing)
+        writes = Budget(reactor, max(2.0, least.write_rps * USER_WRITES / sharing))
+        self.leader_writes = Budget(reactor, least.write_rps * LEADER_WRITES)
+        self.format = 0
+        """The format in which records may be written, as far as is known; it never goes back."""
+        self.first_chunk_size = records.chunk_size(deployment.state.value_kb)
+        """Tasks per chunk of the jobs whose records don't say."""
+        self.chunk_size = min(self.first_chunk_size, records.tasks_in(least.value_bytes))
+        """The same of new jobs, once their records may say so."""
+        self.admission = Admission(reactor, self.state, self.teams, self, reads, writes, wall, least.value_bytes)
         self.nonce = secrets.token_hex(8)
         life_s = deployment.workers.lease_s * LEADER_LEASE
         self.grace_s = blind_grace(deployment.workers, life_s)
@@ -119,6 +126,7 @@
     def begin(self) -> None:
         defer.ensureDeferred(self._catalog_loop())
         defer.ensureDeferred(self._settings_loop())
+        defer.ensureDeferred(self._format_loop())
         defer.ensureDeferred(self._served_loop())
         defer.ensureDeferred(self.election.run())
 
@@ -164,6 +172,28 @@
                 log.exception("operators' settings")
                 await self.sleep(SETTINGS_WATCH_S / 10)
 
+    async def _format_loop(self) -> None:
+        """Learns that records may be written in the newest format, which is for good."""
+        while self.format < records.NEWEST_FORMAT:
+            try:
+                found = await self.state.get(records.FORMAT)
+                if found is not None:
+                    self.take_format(found[0]["format"])
+                else:
+                    await self.state.watch(records.FORMAT, self.state.revision, SETTINGS_WATCH_S)
+            except (Unavailable, Unknown, Compacted):
+                await self.sleep(SETTINGS_WATCH_S / 10)
+            except Exception:
+                log.exception("format of the records")
+                await self.sleep(SETTINGS_WATCH_S / 10)
+
+    def take_format(self, number: int) -> None:
+        if number > self.format:
+            log.info("records are written in format %d from now on", number)
+            self.format = number
+            if self.term is not None:
+                self.term.format_changed()
+
     def served(self) -> bool:
         """Whether the state service has executed a request of ours lately."""
         return self.reactor.seconds() - self.state.served_at < SERVED_S
@@ -271,7 +301,8 @@
         now = self.reactor.seconds()
         recent = now - VIEW_REPORTS * self.settings.deployment.workers.report_s
         return PeerView(min(now - self.state.served_at, 1e9),
-                        {machine: newest for machine, (at, newest) in self._referred.items() if at > recent})
+                        {machine: newest for machine, (at, newest) in self._referred.items() if at > recent},
+                        self.settings.member, records.NEWEST_FORMAT)
 
     async def read_settings(self) -> tuple[OperatorSettings, int]:
         """The operators' settings in the store, and their version (0: never set)."""
--- a/stileloft/coordination/placement.py
+++ b/stileloft/coordination/placement.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass, field
 
 from stileloft.bookkeeping.model import TaskKey
-from stileloft.coordination import preemption
+from stileloft.coordination import gangs, preemption
 from stileloft.coordination.preemption import Eviction
 from stileloft.coordination.snapshot import (
     EPSILON,
@@ -17,6 +17,7 @@
     Usage,
     Waiting,
     allowed,
+    whole_within_limit,
     within_guarantee,
     within_limit,
     zone_allowed,
@@ -173,14 +174,14 @@
     Each machine is weighed once, and again only when it has changed.
     """
 
-    def __init__(self, job: Waiting, about: Round) -> None:
+    def __init__(self, job: Waiting, about: Round, among: list[Node] | None = None) -> None:
         self._job = job
         self._about = about
         self._nodes = about.snapshot.nodes
         self._heap: list[tuple[float, str, int]] = []
         self._versions: dict[str, int] = {}
-        for name in about.open:
-            self._weigh(self._nodes[name], 0)
+        for node in [self._nodes[name] for name in about.open] if among is None else among:
+            self._weigh(node, 0)
         heapq.heapify(self._heap)
 
     def _weigh(self, node: Node, version: int) -> None:
@@ -188,7 +189,8 @@
         spec = job.spec
         if spec.cpus > node.cpus + EPSILON or node.id in job.avoid or not allowed(spec, node):
             return
-        if not preemption.room_beside(spec, node, about.reserved.get(node.id, ())):
+        reserved = about.reserved.get(node.id, ())
+        if not preemption.room_beside(spec, node, gangs.beside(job, reserved) if spec.is_gang else reserved):
             return
         hold = about.snapshot.holds.get(node.id)
         if hold is not None and not hold.lets(spec, job.estimate_s):
@@ -225,31 +227,20 @@
     job.zones[zone] = job.zones.get(zone, 0) + sign
 
 
-def place_gang(job: Waiting, about: Round, decision: Decision) -> bool:
-    """Places all waiting tasks of a gang, or leaves everything as it was."""
+def serve_gang(job: Waiting, about: Round, decision: Decision) -> None:
+    """Places all tasks of a gang, or leaves everything as it was and holds room. Waiting gangs stop nobody."""
     spec, snapshot = job.spec, about.snapshot
-    if any(job.zones.values()):
-        return False  # the rest of it is ending: it comes again as a whole
-    team, used = snapshot.teams.get(spec.team), snapshot.usage.setdefault(spec.team, Usage())
-    taken: list[tuple[Node, Running]] = []
-    candidates = Candidates(job, about)
-    for index in job.tasks:
-        target = candidates.best() if within_limit(spec, team, used) else None
-        if target is None:
-            break
-        node, task = snapshot.own(target.id), as_running(spec, (spec.id, index))
-        node.take(task)
-        taken.append((node, task))
-        count_in(job, used, node.zone)
-        candidates.changed(node.id)
-    if len(taken) == job.count:
-        decision.placed += [(task.key, node.id) for node, task in taken]
-        job.count = 0
-        return True
-    for node, task in taken:
-        node.give(task)
-        count_in(job, used, node.zone, -1)
-    return False
+    found = gangs.find_place(job, snapshot, [snapshot.nodes[name] for name in about.open],
+                             lambda among: Candidates(job, about, among), fetch_time)
+    if found is not None:
+        for index, node in found:
+            place_task(job, index, node, about, decision)
+        return
+    used = snapshot.usage.setdefault(spec.team, Usage())
+    if not any(job.zones.values()) and whole_within_limit(spec, snapshot.teams.get(spec.team), used, job.count):
+        if len(snapshot.holds) < MAX_HOLDS:
+            gangs.hold_room(job, snapshot)
+        decision.unmet.append((job, job.count))
 
 
 def place_task(job: Waiting, index: int, target: Node, about: Round, decision: Decision) -> None:
@@ -282,6 +273,8 @@
         # They lose the nomination and return to waiting.
         about.reserved[machine].remove(lower)
         snapshot.nominations.pop(lower.key, None)
+    for other in gangs.leave(snapshot, eviction.victims):
+        about.spares.stopped(other)
     nomination = Nomination(key, machine, spec.rank, spec, 0.0)
     snapshot.nominations[key] = nomination
     about.reserved.setdefault(machine, []).append(nomination)
@@ -345,6 +338,8 @@
             break  # the job's other tasks are alike: no trial helps them either
         nominate(job, index, eviction, about, decision)
         trials.changed(eviction.machine)
+        if any(task.together > 1 for task in eviction.victims):
+            trials.forget()  # a gang has gone from other machines too
         nominated += 1
     left = job.count - nominated
     if trials is not None and left > 0 and within_limit(spec, team, used):
@@ -359,7 +354,7 @@
     kinds = snapshot.types.values()
     smallest = min((kind.cpus for kind in kinds), default=0.0)
     reserved: dict[str, list[Nomination]] = {}
-    for nomination in snapshot.nominations.values():
+    for nomination in [*snapshot.nominations.values(), *gangs.expect(snapshot)]:
         reserved.setdefault(nomination.machine, []).append(nomination)
     about = Round(snapshot, reserved, smallest, max((kind.cpus for kind in kinds), default=0.0),
                   any(job.spec.cpus > smallest for job in snapshot.waiting),
@@ -370,9 +365,6 @@
         about.narrow()
         if not job.spec.is_gang:
             serve(job, about, decision, max_placed, max_evictions)
-        elif not place_gang(job, about, decision):
-            # All of it or nothing, and waiting members stop nobody.
-            used = snapshot.usage.setdefault(job.spec.team, Usage())
-            if within_limit(job.spec, snapshot.teams.get(job.spec.team), used):
-                decision.unmet.append((job, job.count))
+        else:
+            serve_gang(job, about, decision)
     return decision
--- a/stileloft/coordination/preemption.py
+++ b/stileloft/coordination/preemption.py
@@ -11,6 +11,7 @@
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 
+from stileloft.coordination import gangs
 from stileloft.coordination.snapshot import (
     EPSILON,
     Node,
@@ -34,14 +35,21 @@
     victims: list[Running]
 
 
-def candidates(spec: JobSpec, node: Node, teams: dict[str, Team], usage: dict[str, Usage]) -> list[Running]:
-    """Tasks that may be stopped for this one: lowest priority, budget-safe and least loss first."""
+Victim = list[Running]
+"""What goes together on one machine: a task, or a gang's tasks there."""
+
+
+def candidates(spec: JobSpec, node: Node, teams: dict[str, Team], usage: dict[str, Usage]) -> list[Victim]:
+    """What may be stopped for this task: lowest priority, budget-safe and least loss first.
+
+    A gang is one victim: it counts with all its tasks, those on other machines included.
+    """
     team = teams.get(spec.team)
     owed = within_guarantee(spec, team, usage.get(spec.team, Usage()))
     found = []
     for task in node.tasks:
-        if task.leaving or task.spec is None or task.spec.is_gang:
-            continue  # a gang is one victim, on all its machines: no trial of one machine can weigh it
+        if task.leaving or task.spec is None:
+            continue
         lower = task.rank < spec.rank
         # A team is given its guarantee at the cost of others' borrowed work, but not of more
         # pressing work: that would come back at once and stop this task in turn.
@@ -49,8 +57,8 @@
                     and beyond_guarantee(teams.get(task.team), usage.get(task.team, Usage())))
         if lower or borrowed:
             found.append(task)
-    found.sort(key=lambda task: (task.rank, not task.safe, task.unsaved_s * task.cpus, task.key))
-    return found
+    return sorted(gangs.units(found), key=lambda victim: (
+        victim[0].rank, not victim[0].safe, victim[0].unsaved_s * victim[0].cpus * victim[0].together, victim[0].key))
 
 
 def beside(spec: JobSpec, nominated: Iterable[Nomination]) -> Room:
@@ -83,42 +91,45 @@
         return None
     cpus, gpus, memory_gb = node.cpus, node.gpus, node.memory_gb
 
-    def move(task: Running, sign: int) -> bool:
+    def move(victim: Victim, sign: int) -> bool:
         """Whether the task fits after one more is removed (1) or returned (-1)."""
         nonlocal cpus, gpus, memory_gb
-        cpus += sign * task.cpus
-        gpus += sign * task.gpus
-        memory_gb += sign * task.memory_gb
+        for task in victim:
+            cpus += sign * task.cpus
+            gpus += sign * task.gpus
+            memory_gb += sign * task.memory_gb
         return (needed[0] <= cpus + EPSILON and needed[1] <= gpus + EPSILON and needed[2] <= memory_gb + EPSILON)
 
     fits = room_beside(spec, node, nominated)
     for task in node.tasks:
         if task.leaving:
-            fits = move(task, 1)
-    removed: list[Running] = []
+            fits = move([task], 1)
+    removed: list[Victim] = []
     if not fits:
-        for task in candidates(spec, node, teams, usage):
-            removed.append(task)
-            fits = move(task, 1)
+        for victim in candidates(spec, node, teams, usage):
+            removed.append(victim)
+            fits = move(victim, 1)
             if fits:
                 break
     if not fits:
         return None
     victims: list[Running] = []
     # Return what can be returned, the most valuable first.
-    for task in reversed(removed):
-        if not move(task, -1):
-            move(task, 1)
-            victims.append(task)
+    for victim in reversed(removed):
+        if not move(victim, -1):
+            move(victim, 1)
+            victims += victim
     return victims
 
 
 def loss(victims: list[Running]) -> tuple[float, float, int]:
     """What a machine's victims cost: highest priority first, then unsaved work, then their number."""
+    # Of a gang all tasks go, wherever they are.
+    going = [(victim[0], victim[0].together) for victim in gangs.units(victims)]
     return (
         max((task.rank for task in victims), default=-1),
-        sum(task.unsaved_s * task.cpus for task in victims),
-        len(victims),
+        sum(task.unsaved_s * task.cpus * together for task, together in going),
+        sum(together for _, together in going),
     )
 
 
@@ -199,6 +210,10 @@
             heapq.heappop(self._heap)  # a zone that is full for the job stays so in this round
         return None
 
+    def forget(self) -> None:
+        """More than one machine has changed."""
+        self._facts = None
+
     def changed(self, machine: str) -> None:
         """The best machine has got the nomination, or has changed otherwise."""
         self._heap = [entry for entry in self._heap if entry[1] != machine]
--- a/stileloft/coordination/scaling.py
+++ b/stileloft/coordination/scaling.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass, field
 
 from stileloft.bookkeeping.model import fits_type
+from stileloft.coordination import gangs
 from stileloft.coordination.placement import as_running
 from stileloft.coordination.snapshot import Node, Snapshot, Waiting, allowed, zone_allowed
 from stileloft.protocol.admin import OperatorSettings
@@ -114,7 +115,9 @@
     def replace(kind: MachineType) -> None:
         """A spot machine for one at the full price, which then runs empty and is returned."""
         alike = [node for node in snapshot.nodes.values() if node.type.name == kind.name]
-        full_price = sum(1 for node in alike if not node.spot and node.tasks)
+        # Those with tasks that may use no spot machine stay.
+        full_price = sum(1 for node in alike if not node.spot and node.tasks and not any(
+            task.spec is not None and not task.spec.spot for task in node.tasks))
         on_the_way = sum(1 for node in coming if node.type.name == kind.name)
         # What runs now stays where it is: a spot machine is of use to tasks that come later.
         roomy = any(node.spot and node.ready and node.cpus >= kind.cpus / 2 for node in alike)
@@ -147,8 +150,31 @@
                 count -= 1
         return count
 
+    def room_for_gang(spec: JobSpec, count: int, index: int) -> None:
+        """Rents what a gang lacks, in the zone that lacks the least; what it has is taken."""
+        there = [node for node in usable if node.up] + coming
+        kinds = {zone for kind in snapshot.types.values() if fits_type(spec, kind) for zone in kind.zones}
+        for _, zone in gangs.shortage(spec, count, there, sorted(kinds)):
+            zones = {zone: 1} if spec.one_zone else {}
+            # Machines in use come first, so that others run empty and are returned.
+            rooms = sorted(there, key=lambda node: (not node.tasks, node.id))
+            left = take(spec, count, zones, rooms, index)
+            while left:
+                new = rent(spec, zones, False)
+                if new is None:
+                    break
+                left = take(spec, left, zones, [new], index)
+            if not left or not spec.one_zone:
+                return
+
+    usable = [node for node in copies if node.ready]
+    # Room that is there anyway comes first, and idle machines at the full price last.
+    usable.sort(key=lambda node: (not node.spot, not node.tasks, node.id))
     for job, count in unmet:
         spec = job.spec
+        if spec.is_gang:
+            room_for_gang(spec, count, 0)
+            continue
         zones = dict(job.zones)
         left = take(spec, count, zones, coming, 0)
         if left and soon_served(spec, left, snapshot):
@@ -158,9 +184,8 @@
             if new is None:
                 break
             left = take(spec, left, zones, [new], 0)
-    usable = [node for node in copies if node.ready]
-    # Room that is there anyway comes first, and idle machines at the full price last.
-    usable.sort(key=lambda node: (not node.spot, not node.tasks, node.id))
+    for spec, count in snapshot.expected:
+        room_for_gang(spec, count, 1)
     smallest = min((kind.cpus for kind in snapshot.types.values()), default=0.0)
     large_tasks = any(task.cpus > smallest for node in snapshot.nodes.values() for task in node.tasks)
     for spec, count in headroom:
--- a/stileloft/coordination/snapshot.py
+++ b/stileloft/coordination/snapshot.py
@@ -32,6 +32,8 @@
     """It is already being stopped."""
     safe: bool = True
     """Stopping it does not yet break its job's budget."""
+    together: int = 1
+    """How many tasks go with it, itself included: all of its gang."""
 
 
 @dataclass(slots=True, eq=False)
@@ -189,6 +191,8 @@
     usage: dict[str, Usage]
     nominations: dict[TaskKey, Nomination]
     types: dict[str, MachineType]
+    expected: list[tuple[JobSpec, int]] = field(default_factory=list)
+    """Tasks of gangs for which room is to be kept before they come."""
     holds: dict[str, Hold] = field(default_factory=dict)
     """Room held in this round, by machine."""
     owned: set[str] = field(default_factory=set)
@@ -229,6 +233,12 @@
     return not (team.gpus_max and usage.gpus - gpus_back + (spec.gpus or 0.0) > team.gpus_max + EPSILON)
 
 
+def whole_within_limit(spec: JobSpec, team: Team | None, usage: Usage, count: int) -> bool:
+    """Whether so many tasks more at once keep the team within its limit."""
+    rest = Usage(usage.cpus + (count - 1) * spec.cpus, usage.gpus + (count - 1) * (spec.gpus or 0.0))
+    return within_limit(spec, team, rest)
+
+
 def within_guarantee(spec: JobSpec, team: Team | None, usage: Usage) -> bool:
     """Whether the team stays within what it is guaranteed with one more task."""
     if team is None or not (team.cpus or team.gpus):
--- a/stileloft/protocol/messages.py
+++ b/stileloft/protocol/messages.py
@@ -20,6 +20,15 @@
 PHASES = {"queued": "pending", "running": "running", "done": "done", "cancelled": "aborted"}
 
 
+# A task's states and the reasons of its end, in the field's words; the others are the same on the wire.
+FETCHING, WAITING, RUNNING, SAVING, EXITED = "fetching", "waiting", "running", "saving", "exited"
+STATES = {"gathering": WAITING, "flushing": SAVING}
+STOPPED, PEER_LOST, NOT_COMPLETE, NO_ROOM, BUSY, UNKNOWN = (
+    "stopped", "peer lost", "gang not complete", "no room", "busy", "unknown")
+REASONS = {"halted": STOPPED, "mates_gone": PEER_LOST, "incomplete": NOT_COMPLETE, "full": NO_ROOM,
+           "in_use": BUSY, "no_such": UNKNOWN}
+
+
 def encode(value: Any) -> bytes:
     return cbor2.dumps(value)
 
@@ -112,6 +121,11 @@
     why: str | None = field(name="cause", default=None)
     saved: bool | None = field(name="kept", default=None)
 
+    def __post_init__(self) -> None:
+        self.state = STATES.get(self.state, self.state)
+        if self.why is not None:
+            self.why = REASONS.get(self.why, self.why)
+
 
 class Report(Struct):
     machine: str = field(name="host")
--- a/stileloft/protocol/peers.py
+++ b/stileloft/protocol/peers.py
@@ -16,6 +16,9 @@
     """How long ago the state service last executed a request of its."""
     machines: dict[str, tuple[int, int]]
     """Machines that it has referred to the leader lately, with session and number of their newest report."""
+    member: str = ""
+    reads: int = 0
+    """The newest format of the store's records that it reads; the version before gangs does not say."""
 
 
 class PeerClient:
--- a/stileloft/protocol/state.py
+++ b/stileloft/protocol/state.py
@@ -30,6 +30,10 @@
     """The lease has ended."""
 
 
+class TooLarge(Unavailable):
+    """A value or a transaction is beyond the service's limits: it will never be executed as it is."""
+
+
 class Compacted(Exception):
     """The watch's revision is too old; the keys have to be read again."""
 
@@ -74,6 +78,8 @@
         self._timeout_s = timeout_s
         self.served_at = float("-inf")
         """When the service last executed a request of ours."""
+        self.revision = 0
+        """Of the store, when a key was last found to be missing."""
 
     async def _ask(self, method: str, path: str, body: Any = None, timeout_s: float | None = None) -> Any:
         try:
@@ -91,6 +97,7 @@
         """Value, version and lease of a key, or None if it does not exist."""
         reply = await self._ask("GET", f"/kv/{key}")
         if reply.status == 404:
+            self.revision = (reply.body or {}).get("epoch", self.revision)
             return None
         if reply.status != 200:
             raise Unavailable(f"status {reply.status}")
@@ -133,6 +140,8 @@
             raise Conflict(list(reply.body.get("failed", [])))
         if reply.status == 400 and lease is not None:
             raise LeaseGone
+        if reply.status in (400, 413):
+            raise TooLarge(f"status {reply.status}: {reply.body}")
         raise Unavailable(f"status {reply.status}: {reply.body}")
 
     async def new_lease(self, life_s: float) -> int:
--- a/stileloft/settings.py
+++ b/stileloft/settings.py
@@ -47,6 +47,19 @@
     report_s: Positive
     lease_s: Positive
     cancel_s: Positive
+    gang_wait_s: Positive = 45.0
+    """A gang's task gives up when it has waited for the others for so long."""
+    gang_peer_s: Positive = 4.0
+    """Within this time the tasks of a gang notice that one is lost, or have to be told to stop."""
+
+
+class Limits(Struct, frozen=True):
+    """Limits of the state service to come; what is not named stays."""
+
+    rps: Positive | None = None
+    write_rps: Positive | None = None
+    value_kb: Positive | None = None
+    txn_ops: Annotated[int, Meta(ge=4)] | None = None
 
 
 class State(Struct, frozen=True):
@@ -54,6 +67,19 @@
     write_rps: Positive
     value_kb: Positive
     txn_ops: Annotated[int, Meta(ge=4)]
+    next: Limits = Limits()
+    """They come into force at some moment without notice, so they are kept from the start."""
+
+    def least(self) -> "State":
+        """The smaller of the present limits and those to come."""
+        after = self.next
+        return State(min(self.rps, after.rps or self.rps), min(self.write_rps, after.write_rps or self.write_rps),
+                     min(self.value_kb, after.value_kb or self.value_kb),
+                     min(self.txn_ops, after.txn_ops or self.txn_ops))
+
+    @property
+    def value_bytes(self) -> int:
+        return int(self.value_kb * 1024)
 
 
 class Cloud(Struct, frozen=True):
--- a/tests/rules.py
+++ b/tests/rules.py
@@ -36,7 +36,8 @@
 
     def started(self, task: str, machine: "Machine", now: float) -> None:
         self.starts += 1
-        self.begun_at.setdefault(task.rpartition("/")[0], now)
+        if self.job_of(task)["shape"] != "gang":  # a gang begins when all its tasks run
+            self.begun_at.setdefault(task.rpartition("/")[0], now)
         other = self.where.get(task)
         if other is not None and other is not machine:
             self.break_("ran_twice", f"{task} is on {other.name} and starts on {machine.name}")
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -17,9 +17,9 @@
 from stileloft.bookkeeping.records import split_task
 from stileloft.coordination.node import Node
 from stileloft.protocol import messages
-from stileloft.settings import parse
 from stileloft.transport.client import Refused, Reply, Unanswered
 from tests.rules import Rules
+from tests.versions import NEW, Version
 
 SETTINGS = """
 member = "node-{n}"
@@ -49,11 +49,14 @@
 report_s = 2.0
 lease_s = 12.0
 cancel_s = 30.0
+gang_wait_s = 20.0
+gang_peer_s = 3.0
 [deployment.state]
 rps = 200.0
 write_rps = 60.0
-value_kb = 4.0
+value_kb = {value_kb}
 txn_ops = 12
+{coming}
 [deployment.cloud]
 rps = 8.0
 list_lag_s = 5.0
@@ -83,6 +86,9 @@
         self.changes: list[tuple[str, Any, int]] = []
         self.down_until = 0.0
         self.refuses: dict[str, float] = {}
+        self.value_bytes = int(world.value_kb * 1024)
+        self.txn_ops = 12
+        self.refused_sizes = 0
         world.clock.callLater(0.05, self.expire)
 
     def down_for(self, caller: str) -> bool:
@@ -151,9 +157,13 @@
         return self.watch(caller, arguments)
 
     def commit(self, body: Any) -> Reply:
-        assert len(body["writes"]) <= 12 and len(body["guards"]) <= 48, "over the limits of a transaction"
+        if len(body["writes"]) > self.txn_ops or len(body["guards"]) > 4 * self.txn_ops:
+            self.refused_sizes += 1
+            return Reply(400, {"error": "too many operations"})
         for write in body["writes"]:
-            assert len(json.dumps(write.get("v"))) <= 4 * 1024, f"the value of {write.get('set')} is over the limit"
+            if len(json.dumps(write.get("v"))) > self.value_bytes:
+                self.refused_sizes += 1
+                return Reply(400, {"error": f"the value of {write.get('set')} is too large"})
             if write.get("hold") is not None and write["hold"] not in self.leases:
                 return Reply(400, {"error": "no such lease"})
         failed = [g["path"] for g in body["guards"] if self.items.get(g["path"], (0, 0))[1] != g["stamp"]]
@@ -213,8 +223,8 @@
         return {"host": self.name, "endpoint": self.address, "build": self.kind["label"], "yard": self.zone,
                 "loaner": self.spot, "stint": self.session, "tick": self.seq, "baton": self.token,
                 "warningS": None if self.notice is None else max(0.0, self.notice - self.world.now),
-                "pieces": [{"piece": t, "try": s["try"], "phase": s["phase"], "cause": s["cause"]}
-                           for t, s in self.tasks.items()]}
+                "pieces": [{"piece": t, "try": s["try"], "phase": s["phase"], "cause": s["cause"],
+                            "kept": s.get("kept", False)} for t, s in self.tasks.items()]}
 
     def lease_loop(self) -> None:
         if self.gone:
@@ -302,7 +312,11 @@
                 if known["phase"] == "exited":
                     del self.tasks[name]
             elif known["phase"] != "exited":
-                self.finish(name, "halted")
+                gang = self.world.gang_of(name, attempt)
+                if gang is not None and known["phase"] in ("running", "flushing"):
+                    gang.stop(name, self, command["windDownS"])
+                else:
+                    self.finish(name, "halted")
 
     def start(self, name: str, attempt: int, known: dict[str, Any] | None) -> None:
         if known is not None and (known["try"] == attempt or known["phase"] != "exited"):
@@ -332,8 +346,14 @@
             state.update(phase="exited", cause="done")
             self.send_report()
             return
-        state["phase"] = "running"
         self.world.rules.started(name, self, self.world.now)
+        if job["shape"] == "gang":
+            state["phase"] = "gathering"
+            gang = self.world.gangs.setdefault((job["nameId"], state["try"]), Gang(self.world, job))
+            gang.gather(name, self, state)
+            self.send_report()
+            return
+        state["phase"] = "running"
         self.send_report()
         self.world.clock.callLater(self.world.run_s(name), self.complete, name, state)
 
@@ -354,7 +374,7 @@
         self.world.clock.callLater(0.01, self.send_report)
 
     def leave(self, name: str) -> None:
-        if self.tasks[name]["phase"] == "running":
+        if self.tasks[name]["phase"] in ("running", "gathering", "flushing"):
             self.world.rules.ended(name, self)
 
     def restart(self) -> None:
@@ -371,6 +391,103 @@
             self.leave(name)
 
 
+GANG_WAIT_S, GANG_PEER_S = 20.0, 3.0
+
+
+class Gang:
+    """One attempt of a gang, as its tasks see each other."""
+
+    def __init__(self, world: "World", job: dict[str, Any]) -> None:
+        self.world, self.job = world, job
+        self.members: dict[str, tuple[Machine, dict[str, Any]]] = {}
+        self.running_since: float | None = None
+        self.told: dict[str, float] = {}
+        """Tasks that were told to stop with time to save, and when."""
+        self.progress = 0.0
+        self.over = False
+
+    def present(self, name: str) -> bool:
+        machine, state = self.members[name]
+        return not machine.gone and not machine.hung and machine.tasks.get(name) is state and (
+            state["phase"] != "exited")
+
+    def gather(self, name: str, machine: Machine, state: dict[str, Any]) -> None:
+        self.members[name] = machine, state
+        self.world.clock.callLater(GANG_WAIT_S, self.give_up, name, state)
+        here = [other for other in self.members if self.present(other)]
+        if self.running_since is None and len(here) == self.job["pieces"]:
+            self.running_since = self.world.now
+            self.world.rules.begun_at.setdefault(self.job["nameId"], self.world.now)
+            for member, member_state in self.members.values():
+                member_state["phase"] = "running"
+                member.send_report()
+            self.watch(None)
+
+    def give_up(self, name: str, state: dict[str, Any]) -> None:
+        machine = self.members[name][0]
+        if state["phase"] != "gathering" or machine.gone or machine.tasks.get(name) is not state:
+            return
+        if machine.hung:
+            self.world.clock.callLater(0.5, self.give_up, name, state)
+        else:
+            machine.finish(name, "incomplete")
+
+    def at(self) -> float:
+        """Progress of the job by now; it stops with the first stop."""
+        if self.running_since is None or self.told:
+            return self.progress
+        return self.world.saved.get(self.job["nameId"], 0.0) + self.world.now - self.running_since
+
+    def watch(self, lost_at: float | None) -> None:
+        """All of a running gang complete together; if one is lost the others notice."""
+        if self.over:
+            return
+        now = self.world.now
+        lost = [name for name in self.members if not self.present(name)]
+        if lost:
+            lost_at = now if lost_at is None else lost_at
+            if now - lost_at >= 0.8 * GANG_PEER_S:
+                self.fall_back("mates_gone")
+                return
+        elif self.told:
+            self.save()
+        elif self.at() >= self.world.run_s(self.job["nameId"] + "/0"):
+            self.over = True
+            for name, (machine, _) in self.members.items():
+                machine.finish(name, "done")
+        self.world.clock.callLater(0.25, self.watch, lost_at)
+
+    def stop(self, name: str, machine: Machine, grace_s: float) -> None:
+        if self.job["snapshotS"] <= 0 or grace_s < self.job["stashS"]:
+            self.progress = self.at()
+            machine.finish(name, "halted")
+            return
+        self.progress = self.at()
+        self.told.setdefault(name, self.world.now)
+        machine.tasks[name]["phase"] = "flushing"
+
+    def save(self) -> None:
+        now, first = self.world.now, min(self.told.values())
+        if len(self.told) == len(self.members) and now >= max(self.told.values()) + self.job["stashS"]:
+            self.over = True
+            self.world.saved[self.job["nameId"]] = self.progress
+            for name, (machine, state) in self.members.items():
+                state["kept"] = True
+                machine.finish(name, "halted")
+        elif len(self.told) < len(self.members) and now - first > GANG_PEER_S:
+            self.fall_back("mates_gone")
+
+    def fall_back(self, why: str) -> None:
+        self.over = True
+        every_s = self.job["snapshotS"]
+        progress = self.at()
+        before = self.world.saved.get(self.job["nameId"], 0.0)
+        self.world.saved[self.job["nameId"]] = max(before, progress // every_s * every_s) if every_s else 0.0
+        self.world.lost_gangs += 1
+        for name in [name for name in self.members if self.present(name)]:
+            self.members[name][0].finish(name, why)
+
+
 class Cloud:
     def __init__(self, world: "World", capacity: int) -> None:
         self.world = world
@@ -443,6 +560,7 @@
         target = {"10.9.0.1:1": "state", "10.9.0.2:1": "cloud"}.get(address, address.partition(":")[0])
         if address.endswith(":8081"):
             target = world.names[int(address.split(":")[0].split(".")[-1])]
+        client = world.versions[self.name].client
         if world.processes[self.name] != self.process:
             await defer.Deferred()  # the process is over: nothing goes on in it
         sent = messages.decode(messages.encode(body)) if body is not None else None
@@ -469,10 +587,12 @@
         timer = world.clock.callLater(timeout_s, world.awake, self.name, waiting.cancel)
         try:
             reply = await waiting
-        except (Refused, Unanswered):
-            raise
+        except Refused as error:
+            raise client.Refused(str(error)) from None
+        except Unanswered as error:
+            raise client.Unanswered(str(error)) from None
         except defer.CancelledError:
-            raise Unanswered("timeout") from None
+            raise client.Unanswered("timeout") from None
         finally:
             if timer.active():
                 timer.cancel()
@@ -530,11 +650,21 @@
 class World:
     """Everything outside the nodes, the nodes, and the rules they have to keep."""
 
-    def __init__(self, seed: int, capacity: int = 3, loss: float = 0.002) -> None:
+    def __init__(self, seed: int, capacity: int = 3, loss: float = 0.002, value_kb: float = 4.0,
+                 coming: dict[str, float] | None = None, version: Version = NEW) -> None:
+        """`coming` are the limits that the state service will have; `version` is what the nodes run at first."""
+        self.value_kb = value_kb
+        self.coming = coming or {}
+        self.gangs: dict[tuple[str, int], Gang] = {}
+        self.saved: dict[str, float] = {}
+        """Saved progress of gangs."""
+        self.lost_gangs = 0
+        """How often a gang fell back to its last checkpoint."""
         self.random = random.Random(seed)
         self.clock = Clock()
         self.loss = loss
         self.names = ["node-0", "node-1", "node-2"]
+        self.versions = dict.fromkeys(self.names, version)
         self.jobs: dict[str, dict[str, Any]] = {}
         self.lengths: dict[str, float] = {}
         self.mistaken: set[str] = set()
@@ -577,13 +707,24 @@
         number = self.names.index(name)
         peers = "".join(f'[[peers]]\nmember = "{other}"\nsite = "a"\naddress = "10.0.0.{i}:8081"\n'
                         for i, other in enumerate(self.names) if other != name)
-        return SETTINGS.format(n=number, zone="a" if number else "b", peers=peers)
+        coming = "".join(f"next.{limit} = {value}\n" for limit, value in self.coming.items())
+        return SETTINGS.format(n=number, zone="a" if number else "b", peers=peers, value_kb=self.value_kb,
+                               coming=coming)
+
+    def lower_limits(self) -> None:
+        """The limits that were announced come into force."""
+        self.state.value_bytes = int(self.coming["value_kb"] * 1024)
+        self.state.txn_ops = int(self.coming["txn_ops"])
+
+    def gang_of(self, task_name: str, attempt: int) -> "Gang | None":
+        return self.gangs.get((split_task(task_name)[0], attempt))
 
     def start(self, name: str) -> None:
         self.processes[name] += 1
         number = self.processes[name]
         process = Process(self, name, number)
-        node = Node(process, parse(self.settings(name)), lambda: self.now + 1000.0,
+        version = self.versions[name]
+        node = version.Node(process, version.parse(self.settings(name)), lambda: self.now + 1000.0,
                     lambda *_, **options: Connection(self, name, number, **options))
         node.in_thread = lambda function, *arguments: defer.maybeDeferred(function, *arguments)  # type: ignore
         node.nonce = f"{name}-{number}"
@@ -598,8 +739,10 @@
             del made[address]
         return len(made) + sum(1 for m in self.cloud.machines.values() if m.up and m.target == name)
 
-    def kill(self, name: str, back_after: float | None = 5.0) -> None:
+    def kill(self, name: str, back_after: float | None = 5.0, version: Version | None = None) -> None:
+        """Ends a process; it comes back as it was, or as another version."""
         self.processes[name] += 1
+        self.versions[name] = version or self.versions[name]
         self.frozen.pop(name, None)
         self.connections[name] = {}
         self.nodes[name] = None
@@ -649,13 +792,13 @@
         node = self.nodes[name]
         if node is None:
             raise Refused("no process")
-        answer = node.report(messages.parse_report(body))
+        answer = node.report(self.versions[name].messages.parse_report(body))
         return Reply(answer.status, messages.decode(messages.encode(answer.body)))
 
     def copy_report(self, name: str, body: Any) -> None:
         node = self.nodes[name]
         if node is not None:
-            node.report(messages.parse_report(body))
+            node.report(self.versions[name].messages.parse_report(body))
 
     # -- network ------------------------------------------------------------------
 
@@ -754,7 +897,8 @@
         """A user who submits until accepted, then polls until the end."""
         self.jobs[body["nameId"]] = body
         self.rules.submitted_at[body["nameId"]] = self.now
-        self._ask(lambda node: node.admission.submit(messages.parse_job(body)), self._accepted, body["nameId"])
+        self._ask(lambda node: node.admission.submit(self.versions[node.settings.member].messages.parse_job(body)),
+                  self._accepted, body["nameId"])
 
     def cancel(self, job: str) -> None:
         self.rules.cancelling(job)
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -207,7 +207,8 @@
 def test_ranges_and_keys() -> None:
     for numbers in (set(), {0}, {0, 1, 2, 7, 9, 10}):
         assert records.from_ranges(records.to_ranges(numbers)) == numbers
-    assert records.split_chunk_key(records.chunk_key("j-000412", 17)) == ("j-000412", 17)
+    assert records.split_chunk_key(records.chunk_key("j-000412", 17)) == ("j-000412", 17, 0)
+    assert records.split_chunk_key(records.part_key("j-000412", 17, 2)) == ("j-000412", 17, 2)
     assert records.split_task("j-000412/3") == ("j-000412", 3)
 
 
@@ -290,8 +291,8 @@
     world = World(seed=25, loss=0.0)
     for number in range(6):
         world.submit(world.job(number, pieces=6, vcpus=1.0, guessS=4.0))
-    world.run(27)
-    assert world.rules.where
+    while not world.rules.where:
+        world.run(1)
     commits, handle = [], world.state.handle
 
     def counted(caller, method, path, body):
--- /dev/null
+++ b/tests/versions.py
@@ -0,0 +1,61 @@
+"""This version of the program, and the one in production, which nodes of the stand-ins can run side by side."""
+
+import functools
+import importlib
+import io
+import re
+import subprocess
+import sys
+import tarfile
+import tempfile
+import tomllib
+from pathlib import Path
+from typing import Any, NamedTuple
+
+ROOT = Path(__file__).parent.parent
+NAME = "stileloft_production"
+
+
+class Version(NamedTuple):
+    """What the stand-ins use of a version of the program."""
+
+    Node: Any
+    parse: Any
+    messages: Any
+    client: Any
+    model: Any
+    records: Any
+
+
+def _version(package: str) -> Version:
+    def module(name: str) -> Any:
+        return importlib.import_module(f"{package}.{name}")
+
+    return Version(module("coordination.node").Node, module("settings").parse, module("protocol.messages"),
+                   module("transport.client"), module("bookkeeping.model"), module("bookkeeping.records"))
+
+
+NEW = _version("stileloft")
+
+
+@functools.cache
+def production() -> Version | None:
+    """The version in production, from the repository's history; None in a checkout without it."""
+    commit = tomllib.loads((ROOT / "deploy/service.toml").read_text())["production"]
+    try:
+        done = subprocess.run(["git", "-C", str(ROOT), "archive", commit, "stileloft"], capture_output=True)
+    except OSError:
+        return None
+    if done.returncode:
+        return None
+    folder = Path(tempfile.mkdtemp())
+    with tarfile.open(fileobj=io.BytesIO(done.stdout)) as archive:
+        for member in archive.getmembers():
+            source = archive.extractfile(member) if member.name.endswith(".py") else None
+            if source is not None:
+                # Under another name, so that both can be loaded.
+                path = folder / member.name.replace("stileloft", NAME, 1)
+                path.parent.mkdir(parents=True, exist_ok=True)
+                path.write_text(re.sub(r"\bstileloft\b", NAME, source.read().decode()))
+    sys.path.append(str(folder))
+    return _version(NAME)
