Tests: gangs, both versions side by side, the limits to come; splits go by the largest value

Tasks placed in a round counted as about to end when room was held later in it; they count with their estimate now. The plain model found that once it knew gangs.

--- a/stileloft/coordination/fleet.py
+++ b/stileloft/coordination/fleet.py
@@ -325,7 +325,7 @@
         try:
             await term.state.commit({records.LEADER: term.token}, {records.rented_key(slot): whole}, [])
         except TooLarge:
-            term.limits.refused(1)
+            term.limits.refused([whole], 1)
             await self._store_rental(offer, machines)
         except (Conflict, Unavailable, Unknown) as error:
             log.debug("recording a rental: %s", error)
@@ -370,7 +370,7 @@
             try:
                 await term.state.commit({records.LEADER: term.token}, puts, [records.IMAGES + m for m in dropped])
             except TooLarge:
-                term.limits.refused(count)
+                term.limits.refused(puts.values(), count)
                 continue
             except (Conflict, Unavailable, Unknown) as error:
                 log.debug("recording images: %s", error)
--- a/stileloft/coordination/ledger.py
+++ b/stileloft/coordination/ledger.py
@@ -5,6 +5,7 @@
 """
 
 import logging
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Any
 
@@ -78,12 +79,13 @@
         self.ops = least.txn_ops
         self.value_bytes = least.value_bytes
 
-    def refused(self, changes: int) -> None:
-        """A transaction of so many changes was too large, by its number of changes or by one of its values."""
-        if changes > LEAST_OPS:
-            self.ops = max(LEAST_OPS, min(self.ops, changes) // 2)
+    def refused(self, values: Iterable[Any], changes: int) -> None:
+        """A transaction of these values, and so many changes in all, was too large; which of the two is not said."""
+        largest = max((records.size_of(value) for value in values), default=0)
+        if largest > self.value_bytes // 2 or changes <= LEAST_OPS:
+            self.value_bytes = max(LEAST_VALUE_BYTES, self.value_bytes // 2)
         else:
-            self.value_bytes = max(LEAST_VALUE_BYTES, self.value_bytes * 3 // 4)
+            self.ops = max(LEAST_OPS, min(self.ops, changes) // 2)
 
 
 class Ledger:
@@ -324,7 +326,7 @@
         except TooLarge as error:
             # The limits have become lower than was announced. Unchanged it would be refused for ever.
             self.in_flight -= 1
-            term.limits.refused(len(puts) + len(deletes))
+            term.limits.refused(puts.values(), len(puts) + len(deletes))
             log.info("commit too large: %s; from now on %d changes and %d bytes a value", error, term.limits.ops,
                      term.limits.value_bytes)
             for entry in batch:
--- a/stileloft/coordination/placement.py
+++ b/stileloft/coordination/placement.py
@@ -111,9 +111,10 @@
     return total
 
 
-def as_running(spec: JobSpec, key: TaskKey, shielded: bool = False) -> Running:
+def as_running(spec: JobSpec, key: TaskKey, shielded: bool = False, remaining_s: float = 0.0) -> Running:
     rank = SHIELDED if shielded else spec.rank
-    return Running(key, spec, spec.team, rank, spec.cpus, spec.gpus or 0.0, spec.memory_gb)
+    return Running(key, spec, spec.team, rank, spec.cpus, spec.gpus or 0.0, spec.memory_gb, remaining_s=remaining_s,
+                   together=spec.tasks if spec.is_gang else 1)
 
 
 def hold_room(job: Waiting, snapshot: Snapshot) -> None:
@@ -251,7 +252,7 @@
         hold.cpus -= spec.cpus
         hold.gpus -= spec.gpus or 0.0
         hold.memory_gb -= spec.memory_gb
-    node.take(as_running(spec, (spec.id, index), job.first))
+    node.take(as_running(spec, (spec.id, index), job.first, job.estimate_s))
     if spec.image not in node.images:
         node.fetching |= {spec.image}
     count_in(job, snapshot.usage.setdefault(spec.team, Usage()), node.zone)
--- a/tests/plain.py
+++ b/tests/plain.py
@@ -1,8 +1,10 @@
 """Slow, plain models of the decisions: one task at a time, every machine looked at for each of them."""
 
+import copy
+
 from stileloft.bookkeeping.model import TaskKey
 from stileloft.coordination import preemption
-from stileloft.coordination.placement import MAX_HOLDS, as_running, cost, limit_aged, order_key
+from stileloft.coordination.placement import MAX_HOLDS, as_running, cost, fetch_time, limit_aged, order_key
 from stileloft.coordination.preemption import Eviction, loss
 from stileloft.coordination.snapshot import (
     Hold,
@@ -25,13 +27,16 @@
     """The design's words, with lists and sums only: remove in order, then return in the opposite order."""
     teams, usage = snapshot.teams, snapshot.usage
     owed = within_guarantee(job, teams.get(job.team), usage.get(job.team, Usage()))
-    may = [t for t in node.tasks if not t.leaving and t.spec is not None and not t.spec.is_gang and (
+    single = [t for t in node.tasks if not t.leaving and t.spec is not None and (
         t.rank < job.rank or (owed and t.rank <= job.rank and t.team != job.team
                               and beyond_guarantee(teams.get(t.team), usage.get(t.team, Usage()))))]
-    may.sort(key=lambda t: (t.rank, not t.safe, t.unsaved_s * t.cpus, t.key))
+    # A gang is one victim, with what it loses on all its machines.
+    may = [[t] for t in single if t.together == 1]
+    may += [[t for t in single if t.key[0] == name] for name in {t.key[0] for t in single if t.together > 1}]
+    may.sort(key=lambda v: (v[0].rank, not v[0].safe, v[0].unsaved_s * v[0].cpus * v[0].together, v[0].key))
 
-    def fits(gone: list[Running], leave: bool = True) -> bool:
-        stay = [t for t in node.tasks if t not in gone and not (leave and t.leaving)]
+    def fits(gone: list[list[Running]], leave: bool = True) -> bool:
+        stay = [t for t in node.tasks if not any(t in victim for victim in gone) and not (leave and t.leaving)]
         wanted = [n.spec for n in nominated if n.rank >= job.rank] + [job]
         return (sum(t.cpus for t in stay) + sum(w.cpus for w in wanted) <= node.type.cpus + 1e-6
                 and sum(t.memory_gb for t in stay) + sum(w.memory_gb for w in wanted) <= node.type.memory_gb + 1e-6)
@@ -41,11 +46,11 @@
     for count in range(len(may) + 1):
         gone = may[:count]
         if fits(gone):
-            for task in reversed(list(gone)):
-                without = [t for t in gone if t is not task]
+            for victim in reversed(list(gone)):
+                without = [v for v in gone if v is not victim]
                 if fits(without):
                     gone = without
-            return gone
+            return [t for victim in gone for t in victim]
     return None
 
 
@@ -105,21 +110,132 @@
         snapshot.holds[name] = hold
 
 
+def take(job: Waiting, key: TaskKey, node: Node, snapshot: Snapshot) -> None:
+    """Puts a task there."""
+    spec, hold = job.spec, snapshot.holds.get(node.id)
+    if hold is not None and job.estimate_s > hold.until_s:
+        hold.cpus -= spec.cpus
+        hold.memory_gb -= spec.memory_gb
+    node.take(as_running(spec, key, job.first, job.estimate_s))
+    if spec.image not in node.images:
+        node.fetching |= {spec.image}
+    job.zones[node.zone] = job.zones.get(node.zone, 0) + 1
+    snapshot.usage.setdefault(spec.team, Usage()).cpus += spec.cpus
+    job.count -= 1
+
+
+def place_gang(job: Waiting, snapshot: Snapshot, nominations: list[Nomination], scarce: bool
+               ) -> list[tuple[TaskKey, str]] | None:
+    """Tries each zone on a copy of everything, task by task."""
+    spec = job.spec
+    used = snapshot.usage.setdefault(spec.team, Usage())
+    rest = Usage(used.cpus + spec.cpus * (job.count - 1), used.gpus)
+    if not within_limit(spec, snapshot.teams.get(spec.team), rest):
+        return None
+    heeded = [n for n in nominations if n.key[0] != "expected" or (n.rank > spec.rank and not job.first)]
+    found = []
+    for zone in sorted({node.zone for node in snapshot.nodes.values()}) if spec.one_zone else [""]:
+        copied = copy.deepcopy(snapshot)
+        copied.nodes = {name: node for name, node in copied.nodes.items() if zone in ("", node.zone)}
+        tried = Waiting(spec, job.submitted, job.count, job.tasks, dict(job.zones), job.estimate_s, job.goal_s,
+                        job.avoid)
+        placed, images_s = [], 0.0
+        for index in job.tasks:
+            target = find(tried, copied, heeded, scarce)
+            if target is None:
+                break
+            images_s = max(images_s, fetch_time(spec, target))
+            target.take(as_running(spec, (spec.id, index)))
+            tried.zones[target.zone] = tried.zones.get(target.zone, 0) + 1
+            placed.append(((spec.id, index), target.id))
+        if len(placed) == job.count:
+            found.append((images_s, zone, placed))
+    return min(found, key=lambda item: item[:2])[2] if found else None
+
+
+def hold_room_for_gang(job: Waiting, snapshot: Snapshot) -> None:
+    """Keeps the room in the zone that will have all of it first."""
+    spec = job.spec
+    found = []
+    for zone in sorted({node.zone for node in snapshot.nodes.values()}) if spec.one_zone else [""]:
+        rooms = []
+        for node in snapshot.nodes.values():
+            if (zone in ("", node.zone) and node.up and node.ready and allowed(spec, node)
+                    and node.id not in snapshot.holds and node.id not in job.avoid):
+                had = 0
+                for at in sorted({0.0, *(t.remaining_s for t in node.tasks)}):
+                    stay = [t for t in node.tasks if t.remaining_s > at or at == 0.0]
+                    has = 0
+                    while (sum(t.cpus for t in stay) + (has + 1) * spec.cpus <= node.type.cpus + 1e-6
+                           and sum(t.memory_gb for t in stay) + (has + 1) * spec.memory_gb
+                           <= node.type.memory_gb + 1e-6):
+                        has += 1
+                    rooms += [(at, node.id)] * (has - had)
+                    had = max(had, has)
+        rooms.sort()
+        if len(rooms) >= job.count:
+            found.append((rooms[job.count - 1][0], zone, rooms[:job.count]))
+    if not found or len(snapshot.holds) >= MAX_HOLDS:
+        return
+    until, _, chosen = min(found)
+    for name in {name for _, name in chosen}:
+        node, mine = snapshot.nodes[name], [at for at, other in chosen if other == name]
+        going = [t for t in node.tasks if t.remaining_s <= max(mine)]
+        snapshot.holds[name] = Hold(
+            until, node.cpus + sum(t.cpus for t in going) - len(mine) * spec.cpus, 0.0,
+            node.memory_gb + sum(t.memory_gb for t in going) - len(mine) * spec.memory_gb,
+            spec.id if job.first else "")
+
+
+def expect(snapshot: Snapshot) -> list[Nomination]:
+    """Room for gangs to come, as nominations: in the zone with the most room, the roomiest machines first."""
+    found: list[Nomination] = []
+    for spec, count in snapshot.expected:
+        rooms = []
+        for node in snapshot.nodes.values():
+            if node.up and node.ready and allowed(spec, node):
+                room = 0
+                while (room + 1) * spec.cpus <= node.cpus + 1e-6 and (
+                        room + 1) * spec.memory_gb <= node.memory_gb + 1e-6:
+                    room += 1
+                room -= sum(1 for n in found if n.machine == node.id)
+                rooms.append((node.zone if spec.one_zone else "", room, node.id))
+        if not rooms:
+            continue
+        zone = max({zone for zone, _, _ in rooms},
+                   key=lambda zone: (min(count, sum(max(0, r) for z, r, _ in rooms if z == zone)), zone))
+        for _, room, name in sorted((r for r in rooms if r[0] == zone), reverse=True):
+            for _ in range(min(room, count)):
+                found.append(Nomination(("expected", len(found)), name, spec.rank, spec, 0.0))
+                count -= 1
+    return found
+
+
 def decide(snapshot: Snapshot, max_placed: int, max_evictions: int
            ) -> tuple[list[tuple[TaskKey, str]], list[tuple[TaskKey, str, list[TaskKey]]], dict[str, int]]:
-    """Placements, evictions and what is unmet, for jobs that are no gangs."""
+    """Placements, evictions and what is unmet."""
     placed: list[tuple[TaskKey, str]] = []
     evictions: list[tuple[TaskKey, str, list[TaskKey]]] = []
     unmet: dict[str, int] = {}
     saving: list[str] = []
     limit_aged(snapshot)
     usage = snapshot.usage
-    nominations = list(snapshot.nominations.values())
+    nominations = [*snapshot.nominations.values(), *expect(snapshot)]
     smallest = min((kind.cpus for kind in snapshot.types.values()), default=0.0)
     scarce = any(job.spec.cpus > smallest for job in snapshot.waiting)
     for job in sorted(snapshot.waiting, key=lambda job: order_key(job, snapshot, usage)):
         spec = job.spec
         team, used = snapshot.teams.get(spec.team), usage.setdefault(spec.team, Usage())
+        if spec.is_gang:
+            whole = place_gang(job, snapshot, nominations, scarce)
+            for key, name in whole or ():
+                take(job, key, snapshot.nodes[name], snapshot)
+            placed += whole or ()
+            rest = Usage(used.cpus + spec.cpus * (job.count - 1), used.gpus)
+            if whole is None and within_limit(spec, team, rest):
+                hold_room_for_gang(job, snapshot)
+                unmet[spec.id] = job.count
+            continue
         nominated, stuck = 0, False
         for index in job.tasks:
             if len(placed) >= max_placed:
@@ -142,17 +258,8 @@
             if target is None and not stuck:
                 target = find(job, snapshot, nominations, scarce)
             if target is not None:
-                hold = snapshot.holds.get(target.id)
-                if hold is not None and job.estimate_s > hold.until_s:
-                    hold.cpus -= spec.cpus
-                    hold.memory_gb -= spec.memory_gb
-                target.take(as_running(spec, key, job.first))
-                if spec.image not in target.images:
-                    target.fetching |= {spec.image}
-                job.zones[target.zone] = job.zones.get(target.zone, 0) + 1
-                used.cpus += spec.cpus
+                take(job, key, target, snapshot)
                 placed.append((key, target.id))
-                job.count -= 1
                 continue
             if own is not None:
                 nominations.append(own)
@@ -165,7 +272,9 @@
             if eviction is None:
                 break
             evictions.append((key, eviction.machine, sorted(v.key for v in eviction.victims)))
-            snapshot.nodes[eviction.machine].leave(eviction.victims)
+            gone = {t.key[0] for t in eviction.victims if t.together > 1}
+            for node in snapshot.nodes.values():
+                node.leave([t for t in node.tasks if t in eviction.victims or t.key[0] in gone])
             nominations = [n for n in nominations if n.machine != eviction.machine or n.rank >= spec.rank]
             nominations.append(Nomination(key, eviction.machine, spec.rank, spec, 0.0))
             used.cpus += spec.cpus
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -405,6 +405,8 @@
         """Tasks that were told to stop with time to save, and when."""
         self.progress = 0.0
         self.over = False
+        self.gathered: list[float] = []
+        """When each of its tasks began to wait."""
 
     def present(self, name: str) -> bool:
         machine, state = self.members[name]
@@ -413,6 +415,7 @@
 
     def gather(self, name: str, machine: Machine, state: dict[str, Any]) -> None:
         self.members[name] = machine, state
+        self.gathered.append(self.world.now)
         self.world.clock.callLater(GANG_WAIT_S, self.give_up, name, state)
         here = [other for other in self.members if self.present(other)]
         if self.running_since is None and len(here) == self.job["pieces"]:
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -2,10 +2,12 @@
 
 import copy
 import itertools
+import random
 
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from stileloft.coordination.gangs import units
 from stileloft.coordination.placement import decide
 from stileloft.coordination.preemption import candidates, loss, preempt, room_beside
 from stileloft.coordination.scaling import Offer, plan
@@ -32,7 +34,8 @@
 def spec(number: int, cpus: float, priority: str = "standard", team: str = "core", **more: object) -> JobSpec:
     fields: dict = {"memory_gb": 1.0, "image": "img", "image_gb": 1.0, "estimate_s": 10.0, "tasks": 4, "spot": True}
     fields.update(more)
-    return JobSpec(id=f"j-{number}", job_class="batch", team=team, kind="array", priority=priority, cpus=cpus, **fields)
+    kind = fields.pop("kind", "array")
+    return JobSpec(id=f"j-{number}", job_class="batch", team=team, kind=kind, priority=priority, cpus=cpus, **fields)
 
 
 def node(name: str, kind: MachineType, tasks: list[Running], **more: object) -> Node:
@@ -45,11 +48,22 @@
 def fleets(draw: st.DrawFn) -> list[Node]:
     nodes = []
     serial = itertools.count(100)
+    # Two gangs may have tasks on any of the machines.
+    gangs = [spec(900 + i, float(draw(st.integers(1, 4))), draw(st.sampled_from(["idle", "standard", "urgent"])),
+                  draw(st.sampled_from(["core", "edge"])), tasks=4, kind="gang") for i in range(2)]
+    unsaved = [float(draw(st.integers(0, 30))) for _ in gangs]
     for number in range(draw(st.integers(1, 3))):
         kind = draw(st.sampled_from([SMALL, LARGE]))
         tasks: list[Running] = []
         free = kind.cpus
         for _ in range(draw(st.integers(0, 5))):
+            which = draw(st.integers(0, 5))
+            if which < 2 and gangs[which].cpus <= free:
+                job = gangs[which]
+                free -= job.cpus
+                tasks.append(Running((job.id, next(serial)), job, job.team, job.rank, job.cpus, 0.0, 1.0,
+                                     unsaved_s=unsaved[which], remaining_s=7.0, together=4))
+                continue
             cpus = float(draw(st.integers(1, 8)))
             if cpus > free:
                 break
@@ -101,9 +115,10 @@
     if found is None:
         return
     chosen = next(n for n in nodes if n.id == found.machine)
-    for count in range(len(found.victims)):
-        for subset in itertools.combinations(found.victims, count):
-            left = sum(t.cpus for t in chosen.tasks if t not in subset)
+    victims = units(found.victims)
+    for count in range(len(victims)):
+        for subset in itertools.combinations(victims, count):
+            left = sum(t.cpus for t in chosen.tasks if not any(t in victim for victim in subset))
             assert left + job.cpus > chosen.type.cpus
 
 
@@ -120,7 +135,7 @@
         job = spec(number, float(draw(st.integers(1, 12))), draw(st.sampled_from(["idle", "standard", "urgent"])),
                    draw(st.sampled_from(["core", "edge"])), tasks=tasks, spot=draw(st.booleans()),
                    zone=draw(st.sampled_from([None, "a"])), one_zone=draw(st.booleans()), spread=draw(st.booleans()),
-                   types=draw(st.sampled_from([None, ["large"]])))
+                   types=draw(st.sampled_from([None, ["large"]])), kind=draw(st.sampled_from(["array", "gang"])))
         waiting.append(Waiting(job, float(draw(st.integers(0, 50))), tasks, list(range(tasks)), {}, 10.0))
     return Snapshot(60.0, {n.id: n for n in nodes}, waiting, TEAMS, used(nodes), {}, {"small": SMALL, "large": LARGE})
 
@@ -165,9 +180,11 @@
         job.goal_s = random.choice([None, 2.0])
         job.aged, job.begun = random.random() < 0.3, random.random() < 0.5
         job.avoid = frozenset(name for name in snapshot.nodes if random.random() < 0.1)
-        if random.random() < 0.3:
+        if random.random() < 0.3 and not job.spec.is_gang:
             key, name = (job.spec.id, job.tasks[-1]), random.choice(list(snapshot.nodes))
             snapshot.nominations[key] = Nomination(key, name, job.spec.rank, job.spec, 9.0)
+    snapshot.expected = [(spec(950 + i, 2.0, priority, kind="gang", spot=False, one_zone=i == 0), random.randrange(6))
+                         for i, priority in enumerate(random.sample(["idle", "standard", "urgent"], 2))]
     expected = plain.decide(copy.deepcopy(snapshot), 6, max_evictions)
     before = {name: (one, one.cpus, list(one.tasks)) for name, one in snapshot.nodes.items()}
     decision = decide(snapshot, 6, max_evictions)
@@ -178,6 +195,64 @@
     assert all(one.cpus == cpus and one.tasks == tasks for one, cpus, tasks in before.values())
 
 
+def crowd(draw: random.Random) -> Snapshot:
+    """Some machines in two zones, partly full, and gangs among what waits."""
+
+    def any_spec(number: int, cpus: int, **more: object) -> JobSpec:
+        return spec(number, float(cpus), draw.choice(["idle", "standard", "urgent"]),
+                    draw.choice(["core", "edge", "free"]), image=draw.choice(["img", "img-2"]),
+                    image_gb=draw.choice([1.0, 3.0]), **more)
+
+    running = [any_spec(900 + i, draw.randint(1, 3), tasks=4, kind="gang") for i in range(2)]
+    running += [any_spec(910 + i, draw.randint(1, 6)) for i in range(6)]
+    left = {job.id: float(draw.randint(1, 40)) for job in running}
+    nodes, serial = [], itertools.count()
+    for number in range(draw.randint(3, 6)):
+        one = node(f"n-{number}", draw.choice([SMALL, LARGE]), [], images=frozenset(draw.sample(["img", "img-2"], 1)))
+        one.zone, one.spot = draw.choice("ab"), draw.random() < 0.3
+        one.ready = draw.random() < 0.9
+        for job in draw.choices(running, k=draw.randint(0, 6)):
+            if job.cpus <= one.cpus:
+                one.take(Running((job.id, next(serial)), job, job.team, job.rank, job.cpus, 0.0, 1.0,
+                                 unsaved_s=left[job.id] / 2, remaining_s=left[job.id], safe=draw.random() < 0.7,
+                                 leaving=draw.random() < 0.1, together=4 if job.is_gang else 1))
+        nodes.append(one)
+    waits = []
+    for number in range(draw.randint(2, 5)):
+        kind, tasks = draw.choice(["array", "gang", "gang"]), draw.randint(2, 6)
+        job = any_spec(number, draw.randint(1, 4), tasks=tasks, kind=kind, one_zone=draw.random() < 0.6,
+                       spread=draw.random() < 0.2, spot=draw.random() < 0.4)
+        waits.append(Waiting(job, float(draw.randint(0, 50)), tasks, list(range(tasks)), {}, float(draw.randint(2, 20)),
+                             draw.choice([None, 2.0]), aged=draw.random() < 0.2, begun=draw.random() < 0.5))
+    expected = [(any_spec(950 + i, 2, kind="gang", spot=i == 1, one_zone=i == 0), draw.randint(0, 8)) for i in range(2)]
+    teams = {name: Team(name, team.cpus, 2 * team.cpus_max) for name, team in TEAMS.items()}
+    return Snapshot(60.0, {n.id: n for n in nodes}, waits, teams, used(nodes), {}, {"small": SMALL, "large": LARGE},
+                    expected)
+
+
+def test_gangs_are_placed_held_for_and_stopped_as_in_the_plain_model() -> None:
+    gangs_placed = gangs_stopped = 0
+    for seed in range(400):
+        snapshot = crowd(random.Random(seed))
+        expected = plain.decide(copy.deepcopy(snapshot), 50, 8)
+        decision = decide(snapshot, 50, 8)
+        assert decision.placed == expected[0], seed
+        stopped = [(key, e.machine, sorted(v.key for v in e.victims)) for key, e in decision.evictions]
+        assert stopped == expected[1], seed
+        assert {job.spec.id: left for job, left in decision.unmet} == expected[2], seed
+        placed: dict[str, int] = {}
+        for key, _ in decision.placed:
+            placed[key[0]] = placed.get(key[0], 0) + 1
+        for job in snapshot.waiting:
+            if job.spec.is_gang:
+                assert placed.get(job.spec.id, 0) in (0, job.spec.tasks), seed
+                gangs_placed += job.spec.id in placed
+        gangs_stopped += any(v.together > 1 for _, e in decision.evictions for v in e.victims)
+        # A waiting gang stops nobody.
+        assert not {key[0] for key, _ in decision.evictions} & {j.spec.id for j in snapshot.waiting if j.spec.is_gang}
+    assert gangs_placed > 200 and gangs_stopped > 15
+
+
 @DERANDOMIZED
 @given(fleets(), st.lists(st.tuples(st.integers(1, 8), st.sampled_from(["standard", "urgent"])), max_size=5))
 def test_a_task_waits_only_when_it_fits_nowhere(nodes: list[Node], wanted: list[tuple[int, str]]) -> None:
@@ -214,8 +289,7 @@
 
 
 def test_a_gang_is_placed_whole_or_not_at_all() -> None:
-    gang = spec(1, 4.0, "urgent", tasks=3)
-    gang = JobSpec(**{**{f: getattr(gang, f) for f in gang.__struct_fields__}, "kind": "gang"})
+    gang = spec(1, 4.0, "urgent", tasks=3, kind="gang")
     for machines, expected in ((1, 0), (2, 3)):
         nodes = [node(f"n-{i}", SMALL, []) for i in range(machines)]
         waits = [Waiting(gang, 0.0, 3, [0, 1, 2], {}, 10.0)]
--- /dev/null
+++ b/tests/test_gangs.py
@@ -0,0 +1,258 @@
+"""Gangs on the stand-ins: all tasks run at once or none does, whatever fails and whoever leads."""
+
+from collections.abc import Callable
+
+import pytest
+
+from stileloft.bookkeeping.model import BOUND, ENDED, Job, Placement
+from stileloft.coordination import gangs
+from stileloft.coordination.admission import why_impossible
+from stileloft.protocol.messages import MachineType, parse_job, parse_report
+from stileloft.settings import Team
+from tests.standins import Gang, Machine, World
+from tests.test_rules import (
+    burst,
+    crash_all_at_once,
+    crash_leader,
+    deaf_machines,
+    finish,
+    hang,
+    late_copies,
+    leader_cut_from_state,
+    load,
+    machines_cut,
+    machines_die,
+    outage,
+    spot_wave,
+    zone_with_leader_cut_off,
+)
+
+
+def gang(world: World, number: int, **changes: object) -> dict:
+    fields = {"lane": "solver", "shape": "gang", "pieces": 4, "vcpus": 2.0, "memGb": 2.0, "loaner": False,
+              "together": True, "guessS": 12.0, "snapshotS": 4.0, "stashS": 1.0} | changes
+    return world.job(number, **fields)
+
+
+def gang_load(world: World, first: int = 100, count: int = 8, every: float = 4.0) -> None:
+    for number in range(count):
+        pieces = (2, 4, 6, 3)[number % 4]
+        # Some may be anywhere, some on spot machines, some never save, some are more pressing.
+        changes = ({}, {"together": False}, {"loaner": True, "urgency": "urgent"}, {"snapshotS": 0.0, "stashS": 0.0})
+        body = gang(world, first + number, pieces=pieces, crew=("core", "edge")[number % 2], **changes[number % 4])
+        world.clock.callLater(2.0 + number * every, world.submit, body)
+
+
+def when(world: World, seen: Callable[[Gang], bool], then: Callable[[Gang], None]) -> list[float]:
+    """Does something at the first moment at which an attempt of a gang looks so; says when that was."""
+    at: list[float] = []
+
+    def look() -> None:
+        found = next((g for g in list(world.gangs.values()) if seen(g)), None)
+        if found is None:
+            world.clock.callLater(0.02, look)
+        else:
+            at.append(world.now)
+            then(found)
+
+    look()
+    return at
+
+
+def gathering(g: Gang) -> bool:
+    return g.running_since is None and 0 < len(g.members) < g.job["pieces"]
+
+
+def running(g: Gang) -> bool:
+    return g.running_since is not None and not g.over and g.at() > 5.0
+
+
+def stopping(g: Gang) -> bool:
+    return bool(g.told) and not g.over
+
+
+def done_on_one(g: Gang) -> bool:
+    return g.over and any(f"{name}" in g.world.rules.done for name in g.members)
+
+
+def die_one(g: Gang) -> None:
+    machine = next(iter(g.members.values()))[0]
+    g.world.cloud.machines.pop(machine.name, None)
+    machine.die()
+
+
+def take_back_one(g: Gang) -> None:
+    machine = next(iter(g.members.values()))[0]
+    machine.notice = g.world.now + 7.0
+
+    def gone() -> None:
+        g.world.cloud.machines.pop(machine.name, None)
+        machine.die()
+
+    g.world.clock.callLater(7.0, gone)
+
+
+def lead_anew(g: Gang) -> None:
+    crash_leader(g.world)
+
+
+MOMENTS = {"gathering": gathering, "running": running, "stopping": stopping, "done on one": done_on_one}
+
+
+@pytest.mark.parametrize("moment", MOMENTS)
+@pytest.mark.parametrize("trouble", ["take-over", "machine dies"])
+def test_at_each_moment_of_a_gang(moment: str, trouble: str) -> None:
+    world = World(seed=len(moment) + len(trouble), loss=0.004)
+    gang_load(world)
+    if moment == "stopping":
+        when(world, running, take_back_one)
+    met = when(world, MOMENTS[moment], {"take-over": lead_anew, "machine dies": die_one}[trouble])
+    finish(world, 300)
+    assert met
+    assert world.rules.broken == [] and set(world.rules.last.values()) == {"done"}
+
+
+@pytest.mark.parametrize("stored", ["in part", "whole, started in part"])
+def test_take_over_while_a_gang_is_placed(stored: str, monkeypatch: pytest.MonkeyPatch) -> None:
+    """Committed in part: nothing was started, and it is taken back. Started in part: the rest follows."""
+    world = World(seed=31, loss=0.0, value_kb=1.0, coming={"txn_ops": 4, "value_kb": 1.0})
+    handle, launched = world.state.handle, Machine.start
+    commits: list[float] = []
+    launches: list[float] = []
+
+    def counted(caller: str, method: str, path: str, body: dict) -> object:
+        if path == "/commit" and any("tasks/j-000001/" in write.get("set", "") for write in body["writes"]):
+            commits.append(world.now)
+            if len(commits) == 1 and stored == "in part":
+                world.clock.callLater(0.0, world.kill, caller, 1.0)
+        return handle(caller, method, path, body)
+
+    def counted_start(machine: Machine, name: str, attempt: int, known: dict | None) -> None:
+        launches.append(world.now)
+        if len(launches) == 1 and stored != "in part":
+            world.kill(world.leader(), 1.0)
+        launched(machine, name, attempt, known)
+
+    world.state.handle = counted  # type: ignore[method-assign]
+    monkeypatch.setattr(Machine, "start", counted_start)
+    world.submit(gang(world, 1, pieces=20))
+    while not commits:
+        world.run(0.5)
+    assert {len(launches), len(world.gangs)} == {0} or stored != "in part"
+    finish(world, 200)
+    assert world.rules.broken == [] and world.rules.last["j-000001"] == "done"
+    # Taken back: a second attempt. Started in part: the first goes on.
+    assert sorted(attempt for _, attempt in world.gangs) == ([2] if stored == "in part" else [1])
+
+
+TROUBLES: dict[str, list[Callable[[World], None]]] = {
+    "quiet": [],
+    "machines die": [machines_die, machines_die],
+    "machines hang past the lease": [hang(20.0), crash_leader],
+    "machines hang shortly": [hang(2.0), hang(5.0)],
+    "machines hear nothing": [deaf_machines(8.0), deaf_machines(40.0)],
+    "machines cut off, late copies": [late_copies, machines_cut, crash_leader],
+    "outage, then all crash": [outage, crash_all_at_once],
+    "leader cut from the state service, spot wave": [leader_cut_from_state, spot_wave, burst],
+    "zone with the leader cut off": [zone_with_leader_cut_off],
+}
+
+
+@pytest.mark.parametrize("name", TROUBLES)
+def test_day_with_gangs(name: str) -> None:
+    world = World(seed=50 + len(name), loss=0.004)
+    load(world, jobs=12)
+    gang_load(world, count=10)
+    for number, trouble in enumerate(TROUBLES[name]):
+        world.clock.callLater(33.0 + 9.0 * number, trouble, world)
+    world.clock.callLater(34.0, world.cancel, "j-000101")
+    world.clock.callLater(45.0, world.cancel, "j-000104")
+    world.rules.troubled_until = 110.0
+    finish(world)
+    assert world.rules.broken == []
+    assert [job for job in world.jobs if not world.rules.is_final(job)] == []
+
+
+def test_a_stopped_gang_saves_together_and_goes_on_from_there() -> None:
+    """All are told at once: more pressing work takes its place, and nothing of its progress is lost."""
+    world = World(seed=41, loss=0.0)
+    world.cloud.most = 1
+    world.submit(gang(world, 1, pieces=4, vcpus=6.0, builds=["large"], guessS=40.0, together=False))
+    world.lengths["j-000001/0"] = 40.0
+    world.run(45)
+    assert [g.running_since is not None for g in world.gangs.values()] == [True]
+    world.submit(world.job(2, urgency="urgent", pieces=2, vcpus=14.0, guessS=8.0, builds=["large"]))
+    finish(world, 250)
+    assert world.rules.broken == [] and set(world.rules.last.values()) == {"done"}
+    assert world.lost_gangs == 0 and world.saved["j-000001"] > 4.0
+    assert len(world.gangs) == 2 and world.rules.final_at["j-000002"] < world.rules.final_at["j-000001"]
+
+
+def test_nothing_of_a_gang_waits_on_a_machine_for_room_elsewhere() -> None:
+    """Room for seven of eight is room for none; small tasks that fill each hole do not keep it out for ever."""
+    world = World(seed=42, loss=0.0)
+    world.cloud.most = 1
+    for number in range(90):
+        world.clock.callLater(1.0 + 2.0 * number, world.submit, world.job(
+            1000 + number, pieces=2, vcpus=4.0, guessS=7.0, builds=["large"], crew=("core", "edge")[number % 2]))
+    wide = gang(world, 1, pieces=8, vcpus=4.0, builds=["large"], loaner=True, guessS=10.0)
+    world.clock.callLater(40.0, world.submit, wide)
+    while world.now < 300 and not world.rules.is_final("j-000001"):
+        world.run(2.0)
+    assert world.rules.begun_at["j-000001"] - world.rules.submitted_at["j-000001"] < 240
+    (only,) = world.gangs.values()
+    assert world.rules.broken == [] and max(only.gathered) - min(only.gathered) < 3.0
+
+
+def job_of(states: list[tuple[int, str, bool]], tasks: int, size: int = 3) -> Job:
+    body = World.job(None, 1, shape="gang", pieces=tasks)  # type: ignore[arg-type]
+    job = Job(parse_job(body), 0.0, size)
+    for index, (attempt, state, done) in enumerate(states):
+        placement = Placement(job.id, index, attempt, "n-0", "a", False, state, done=done)
+        job.add(placement)
+        job.chunk_of(index).attempt = attempt
+    return job
+
+
+@pytest.mark.parametrize("states, stage", [
+    ([], gangs.Stage.WAITING),
+    ([(1, "planned", False)] * 4, gangs.Stage.BINDING),
+    ([(1, BOUND, False)] * 3 + [(1, "planned", False)], gangs.Stage.BINDING),
+    ([(1, BOUND, False)] * 4, gangs.Stage.WHOLE),
+    ([(1, BOUND, False)] * 3, gangs.Stage.BROKEN),
+    ([(1, BOUND, False)] * 3 + [(2, BOUND, False)], gangs.Stage.BROKEN),
+    ([(1, BOUND, False)] * 3 + [(1, ENDED, False)], gangs.Stage.BROKEN),
+    ([(1, BOUND, False), (1, ENDED, True)], gangs.Stage.COMPLETED),
+])
+def test_what_becomes_of_a_gang_follows_from_its_placements(states: list, stage: gangs.Stage) -> None:
+    job = job_of(states, tasks=4)
+    assert gangs.stage(job) is stage
+    assert gangs.may_start(job) is (stage is gangs.Stage.WHOLE)
+    assert gangs.next_attempt(job) == (1 if any(s == "planned" for _, s, _ in states) or not states
+                                       else 1 + max(a for a, _, _ in states))
+
+
+def test_gangs_that_can_never_be_placed_are_refused() -> None:
+    teams = {"core": Team("core", 8.0, 16.0), "free": Team("free")}
+    types = {"small": MachineType("small", 8.0, 32.0, 0.5, 0.2, 30.0, ("a", "b"))}
+
+    def reason(**changes: object) -> str | None:
+        body = World.job(None, 1, shape="gang", pieces=4, vcpus=4.0, crew="core") | changes  # type: ignore[arg-type]
+        return why_impossible(parse_job(body), teams, types, 4096)
+
+    assert reason() is None
+    assert "limit" in str(reason(pieces=5)) and reason(pieces=5, shape="array") is None
+    assert reason(pieces=5, crew="free") is None  # what is merely not there now is no reason
+    assert "machine type" in str(reason(pieces=2, vcpus=8.5, crew="free"))
+    assert "zone" in str(reason(spread=True, together=True)) and reason(spread=True) is None
+    assert "long" in str(reason(builds=["small", *["é" * 60] * 12], crew="free"))
+    assert reason(builds=["small", *["e" * 60] * 12], crew="free") is None
+
+
+def test_the_wires_words_of_gangs_are_translated() -> None:
+    body = {"host": "n-1", "endpoint": "n-1:1", "build": "small", "yard": "a", "stint": 1, "tick": 1, "baton": 1,
+            "pieces": [{"piece": "j-1/0", "try": 1, "phase": "gathering"},
+                       {"piece": "j-1/1", "try": 1, "phase": "exited", "cause": "mates_gone"},
+                       {"piece": "j-1/2", "try": 1, "phase": "exited", "cause": "incomplete"}]}
+    assert [(t.state, t.why) for t in parse_report(body).tasks] == [
+        ("waiting", None), ("exited", "peer lost"), ("exited", "gang not complete")]
--- /dev/null
+++ b/tests/test_upgrade.py
@@ -0,0 +1,268 @@
+"""The version in production and this one side by side, on each other's data, and the store's limits to come."""
+
+import json
+from pathlib import Path
+from typing import Any
+
+import msgspec
+import pytest
+
+from stileloft.bookkeeping import records
+from stileloft.bookkeeping.model import ENDED, PLANNED, Chunk, Job, Placement, job_from_record
+from stileloft.coordination.ledger import Limits
+from stileloft.protocol.messages import job_from_wire
+from stileloft.protocol.peers import PeerView
+from stileloft.settings import State, parse
+from tests.standins import World
+from tests.test_gangs import gang, gang_load
+from tests.test_rules import crash_leader, finish, load, machines_die, outage, spot_wave
+from tests.versions import NEW, Version, production
+
+STORED = Path(__file__).parent / "production.json"
+"""What nodes of the version in production had stored and told each other in the middle of a day: `make_fixture`."""
+COMING = {"value_kb": 2.0, "txn_ops": 4, "write_rps": 45.0}
+
+old = pytest.mark.skipif(production() is None, reason="the checkout lacks the history: the fixture stands in for it")
+
+
+def contents(version: Version, items: dict[str, Any], value_kb: float) -> dict[str, Any]:
+    """Jobs, placements, attempts and finished tasks, as a version's own code reads them from the store's items."""
+    size = version.records.chunk_size(value_kb)
+    found: dict[str, Any] = {}
+    for key, value in items.items():
+        if key.startswith(records.ACTIVE):
+            job = version.model.job_from_record(value, 1, size)
+            chunks = [(k, v, 1) for k, v in sorted(items.items()) if k.startswith(f"{records.TASKS}{job.id}/")]
+            if version is NEW:
+                job.load_chunks(chunks)
+            else:
+                for chunk_key, chunk, _ in chunks:
+                    number = version.records.split_chunk_key(chunk_key)[1]
+                    if number not in job.done_chunks:
+                        job.load_chunk(number, chunk, 1)
+            job.recount()
+            found[job.id] = {
+                "spec": version.messages.job_to_wire(job.spec), "done": job.done, "size": job.size,
+                "free": job.free_tasks(10_000), "attempts": {str(n): c.attempt for n, c in sorted(job.chunks.items())},
+                "placed": sorted([p.index, p.attempt, p.machine, p.zone, p.spot] for p in job.placements())}
+    return found
+
+
+def a_day(version: Version, **more: Any) -> World:
+    world = World(seed=61, loss=0.002, value_kb=16.0, version=version, **more)
+    load(world, jobs=12, every=2.0)
+    world.submit(world.job(700, pieces=130, vcpus=0.25, memGb=0.2, guessS=25.0, crew="edge"))
+    return world
+
+
+def make_fixture() -> None:
+    """Run once: `PYTHONPATH=.:target/deps python3 -c "from tests.test_upgrade import *; make_fixture()"`."""
+    version = production()
+    assert version is not None
+    world = a_day(version)
+    world.run(48)
+    items = {key: value for key, (value, _, _) in sorted(world.state.items.items())}
+    views = [msgspec.to_builtins(node.view()) for node in world.nodes.values()]
+    STORED.write_text(json.dumps({"items": items, "contents": contents(version, items, 16.0), "views": views},
+                                 indent=1) + "\n")
+
+
+def test_what_production_stored_and_told_is_read() -> None:
+    stored = json.loads(STORED.read_text())
+    read = json.loads(json.dumps(contents(NEW, stored["items"], 16.0)))
+    assert read == stored["contents"] and sum(len(job["placed"]) for job in read.values()) > 50
+    for view in stored["views"]:
+        assert msgspec.convert(view, PeerView).reads == 0  # so no new format is written beside it
+
+
+def shape(items: dict[str, Any]) -> set[tuple]:
+    """Kinds of records with their fields."""
+    found = set()
+    for key, value in items.items():
+        fields = tuple(sorted(value)) if isinstance(value, dict) else ()
+        found.add((key.split("/")[0], "+" in key, fields))
+        if key.startswith(records.ACTIVE):
+            assert all(len(item) == 2 for item in value["f"])
+    return found
+
+
+def test_before_the_change_of_format_records_look_as_production_writes_them() -> None:
+    """One node is missing, so nobody knows which version it is: production's form is kept, and its limits."""
+    world = a_day(NEW, coming=COMING)
+    world.kill("node-2", None)
+    world.lower_limits()
+    world.run(60)
+    items = {key: value for key, (value, _, _) in sorted(world.state.items.items())}
+    assert all(node is None or node.format == 0 for node in world.nodes.values()) and records.FORMAT not in items
+    expected = shape(json.loads(STORED.read_text())["items"])
+    # A job's first record, of its acceptance, has no count of stopped tasks in either version.
+    assert shape(items) <= expected | {("active", False, ("c", "f", "s", "t"))}
+    assert world.state.refused_sizes == 0
+    read = contents(NEW, items, 16.0)
+    assert sum(len(job["placed"]) for job in read.values()) > 20
+    version = production()
+    if version is not None:
+        assert contents(version, items, 16.0) == read
+    finish(world)
+    assert world.rules.broken == [] and set(world.rules.last.values()) == {"done"}
+
+
+@old
+@pytest.mark.parametrize("seed", [1, 2])
+def test_old_and_new_lead_in_turn(seed: int) -> None:
+    """Take-overs in the middle of placements, stops and completions; then all are new, and the limits come."""
+    world = World(seed=70 + seed, loss=0.004, value_kb=16.0, coming=COMING, version=production() or NEW)
+    load(world, jobs=30)
+    world.submit(world.job(700, pieces=130, vcpus=0.25, memGb=0.2, guessS=20.0, crew="edge"))
+    wanted = [True, False, True, False]
+    leaders: list[bool] = []
+
+    def turn() -> None:
+        """All of the other kind die while one of them leads, until one of this kind does; then the next is wanted."""
+        name = world.leader()
+        new = name is not None and world.versions[name] is NEW
+        if name is not None and new is wanted[len(leaders)]:
+            leaders.append(new)
+        elif name is not None:
+            for other in world.names:
+                if (world.versions[other] is NEW) is new and world.nodes[other] is not None:
+                    world.kill(other, 2.5)
+        if len(leaders) < len(wanted):
+            world.clock.callLater(3.0 if leaders and name and new is leaders[-1] else 0.5, turn)
+
+    world.clock.callLater(24.0, world.kill, "node-0", 0.5, NEW)
+    world.clock.callLater(28.0, turn)
+    world.clock.callLater(33.0, spot_wave, world)
+    world.clock.callLater(46.0, machines_die, world)
+    for number in (2, 8, 15):
+        world.clock.callLater(34.0 + number, world.cancel, f"j-{number:06d}")
+    # One dies and comes back old before its turn, then the rest of the roll.
+    world.clock.callLater(58.0, world.kill, "node-1", 0.3)
+    world.clock.callLater(62.0, world.kill, "node-1", 2.0, NEW)
+    world.run(64)
+    assert leaders == wanted
+    assert records.FORMAT not in world.state.items
+    world.clock.callLater(4.0, world.kill, "node-2", 2.0, NEW)
+    world.run(12)
+    assert records.FORMAT in world.state.items
+    world.lower_limits()
+    gang_load(world, count=6)
+    world.clock.callLater(15.0, crash_leader, world)
+    world.rules.troubled_until = world.now + 20.0
+    finish(world)
+    assert world.rules.broken == [] and world.state.refused_sizes == 0
+    assert [job for job in world.jobs if not world.rules.is_final(job)] == []
+
+
+@old
+def test_large_records_of_production_are_brought_into_small_pieces() -> None:
+    """Its leader had stored more placements in one value than the limit to come allows."""
+    world = World(seed=81, loss=0.0, value_kb=16.0, coming=COMING, version=production() or NEW)
+    world.submit(world.job(700, pieces=90, vcpus=0.5, memGb=0.2, guessS=200.0))
+    world.submit(world.job(701, pieces=70, vcpus=0.5, memGb=0.2, guessS=200.0, crew="edge"))
+    while len(world.rules.where) < 160:
+        world.run(1)
+    large = [key for key, item in world.state.items.items() if len(json.dumps(item[0])) > 2048]
+    assert len(large) == 2
+    for number, name in enumerate(world.names):
+        world.clock.callLater(2.0 * number, world.kill, name, 0.5, NEW)
+    world.run(20)
+    world.lower_limits()
+    assert [key for key, item in world.state.items.items() if len(json.dumps(item[0])) > 2048] == []
+    world.run(5)
+    crash_leader(world)
+    world.cancel("j-000701")
+    finish(world, 400)
+    assert world.rules.broken == [] and world.state.refused_sizes == 0
+    assert world.rules.last == {"j-000700": "done", "j-000701": "aborted"}
+    world.run(20)
+    assert [key for key in world.state.items if key.startswith(("tasks/", "active/"))] == []
+
+
+def test_the_format_changes_when_all_say_so_and_not_from_silence() -> None:
+    world = World(seed=91, loss=0.0)
+    world.kill("node-1", None)
+    world.run(20)
+    assert records.FORMAT not in world.state.items
+    world.start("node-1")
+    world.run(5)
+    assert world.state.items[records.FORMAT][0]["members"] == world.names
+    assert [node.format for node in world.nodes.values()] == [1, 1, 1]
+    # Jobs say from now on how long their chunks are; another limit in the settings does not change that.
+    world.submit(world.job(1, pieces=30, vcpus=0.5))
+    world.run(20)
+    record = world.state.items["active/j-000001"][0]
+    assert record["n"] == 22 and job_from_record(record, 1, 5).size == 22
+
+
+def test_a_day_under_limits_that_come_without_notice() -> None:
+    """4 changes a transaction and 2 KiB, in mid-day; gangs, a job in many chunks, cancellations and crashes."""
+    world = World(seed=92, loss=0.004, value_kb=16.0, coming=COMING)
+    load(world, jobs=18)
+    gang_load(world, count=8)
+    world.submit(world.job(700, pieces=400, vcpus=0.25, memGb=0.2, guessS=8.0, crew="edge"))
+    world.submit(gang(world, 701, pieces=60, vcpus=0.25, memGb=0.1, guessS=15.0))
+    world.clock.callLater(30.0, world.lower_limits)
+    for at, trouble in ((40.0, crash_leader), (50.0, outage), (75.0, machines_die), (80.0, crash_leader)):
+        world.clock.callLater(at, trouble, world)
+    for number in (2, 8, 15):
+        world.clock.callLater(45.0 + number, world.cancel, f"j-{number:06d}")
+    world.rules.troubled_until = 110.0
+    finish(world)
+    assert world.rules.broken == [] and world.state.refused_sizes == 0
+    assert [job for job in world.jobs if not world.rules.is_final(job)] == []
+
+
+def test_a_change_that_is_refused_for_its_size_is_split_and_repeated() -> None:
+    """The limits become lower than was announced."""
+    world = World(seed=93, loss=0.0, value_kb=16.0)
+    load(world, jobs=12)
+    world.submit(world.job(700, pieces=130, vcpus=0.25, memGb=0.2, guessS=25.0, crew="edge"))
+    world.coming = COMING
+    world.clock.callLater(30.0, world.lower_limits)
+    finish(world)
+    assert world.rules.broken == [] and set(world.rules.last.values()) == {"done"}
+    assert 0 < world.state.refused_sizes < 20
+
+
+def test_limits_are_the_least_known_and_go_down_when_refused() -> None:
+    state = parse(World(1, coming=COMING).settings("node-0")).deployment.state
+    assert (state.least().txn_ops, state.least().value_bytes, state.least().write_rps, state.least().rps) == (
+        4, 2048, 45.0, 200.0)
+    limits = Limits(State(100.0, 50.0, 4.0, 12))
+    limits.refused(["small"] * 8, 10)
+    assert (limits.ops, limits.value_bytes) == (5, 4096)
+    limits.refused(["small", "x" * 3000], 2)
+    assert (limits.ops, limits.value_bytes) == (5, 2048)
+    for _ in range(40):
+        limits.refused(["small"], 1)
+    assert limits.ops == 5 and limits.value_bytes == 512
+
+
+def chunk_of(placed: int, done: int = 0, name: str = "n-000123") -> tuple[Job, Chunk]:
+    spec = job_from_wire({"nameId": "j-1", "lane": "batch", "crew": "core", "shape": "array", "urgency": "standard",
+                          "pieces": 300, "vcpus": 1.0, "memGb": 1.0, "bundle": "img", "imageGb": 1.0, "guessS": 1.0})
+    job = Job(spec, 0.0, 256)
+    chunk = job.chunk_of(0)
+    chunk.attempt, chunk.done = 999, set(range(0, 2 * done, 2))
+    for index in range(2 * done, 2 * done + placed):
+        job.add(Placement("j-1", index, 999, name, "zone-with-a-long-name", True, PLANNED))
+    return job, chunk
+
+
+@pytest.mark.parametrize("placed, done, name", [
+    (0, 0, "n"), (10, 0, "n"), (91, 0, "n"), (120, 60, "n"), (90, 0, "é" * 20)])
+def test_a_chunk_in_pieces_is_the_same_chunk(placed: int, done: int, name: str) -> None:
+    job, chunk = chunk_of(placed, done, name)
+    values = chunk.records(job.spec, job.size, 2048)
+    assert all(records.size_of(value) <= 2048 for value in values) and (len(values) == 1 or placed > 30)
+    again = Job(job.spec, 0.0, 256)
+    again.load_chunks([(records.part_key("j-1", 0, part), json.loads(json.dumps(value)), part + 5)
+                       for part, value in enumerate(values)])
+    again.recount()
+    assert again.chunks[0].done == chunk.done and again.chunks[0].attempt == 999
+    assert [(p.index, p.attempt, p.machine) for p in again.placements()] == [
+        (p.index, p.attempt, p.machine) for p in job.placements()]
+    assert {part: version for part, (version, _) in again.chunks[0].parts.items()} == {
+        part: part + 5 for part in range(1, len(values))}
+    assert all(p.state != ENDED for p in again.placements())
