Gangs: starts that would be undone are stopped last; a machine for classes not yet seen

Now what has started within 30 s, of a class that is to start soon, is stopped last among equals, on its machine and in the ranking of machines.

A small machine at the full price is kept for each class with an objective on starting that has not been seen.

--- a/stileloft/coordination/dispatch.py
+++ b/stileloft/coordination/dispatch.py
@@ -136,6 +136,8 @@
                     if placement.running_since is None:
                         placement.running_since = now
                     if job is not None:
+                        if not job.begun:
+                            log.info("job %s begins, %.1f s after acceptance", job.id, term.wall() - job.submitted)
                         job.begun = True
                         term.fleet.has_image(machine, job.spec.image)
                         term.dirty[job.id] = None
--- a/stileloft/coordination/leader.py
+++ b/stileloft/coordination/leader.py
@@ -61,6 +61,8 @@
 AGED_PART = 0.6
 AGED_LEAST = 0.25
 CROWD_PART = 0.9
+# A start counts for users if nothing stops the task within this time (PROTOCOL, how aims are counted).
+STARTED_S = 30.0
 PLAN_S = 2.0
 # How often the other controllers are asked which format they read, until all read the newest.
 FORMAT_S = 1.0
@@ -692,9 +694,25 @@
             else:
                 factor = settings.headroom if self._allowance(spec) < 0 else 0.0
             found.append((spec, math.ceil(factor * self._crowd(load) * load.tasks)))
+        if gang and self.clock.seconds() - self.started_at > self.settings.workers.report_s:
+            found += [(spec, 1) for spec in self._unseen()]
         found.sort(key=lambda item: -item[0].rank)
         return found
 
+    def _unseen(self) -> list[JobSpec]:
+        """A small machine at the full price for each class that is to start soon and of which nothing has come.
+
+        It may turn out to be one of gangs, which stop nobody, or one that may use no spot machine, and its
+        first jobs would wait for a boot.
+        """
+        kind = min(self.types.values(), key=lambda kind: (kind.price, kind.name), default=None)
+        if kind is None:
+            return []
+        return [JobSpec(id=gangs.EXPECTED, job_class=name, team="", kind="gang", priority="standard", tasks=1,
+                        cpus=kind.cpus, gpus=kind.gpus, memory_gb=kind.memory_gb, image="", image_gb=0.0,
+                        estimate_s=0.0)
+                for name in self.wait_goals if name not in self.classes]
+
     def _crowd(self, load: ClassLoad) -> float:
         """What arrives in a boot varies by its root: more room for classes of which many jobs come in one."""
         boot_s = min((kind.boot_s for kind in self.types.values() if fits_type(load.spec, kind)), default=0.0)
@@ -795,7 +813,8 @@
                 spec.gpus or 0.0, spec.memory_gb, unsaved, self.remaining(job, placement, now),
                 leaving=placement.stop_grace is not None,
                 safe=not spec.is_service and job.stopped_for_others < spec.tasks,
-                together=spec.tasks if spec.is_gang else 1))
+                together=spec.tasks if spec.is_gang else 1,
+                fresh=spec.job_class in self.wait_goals and age < STARTED_S))
         for task, stray in machine.strays.items():
             copy.tasks.append(Running((task, -1), None, stray.team, SHIELDED, stray.cpus, stray.gpus, stray.memory_gb,
                                       leaving=True))
--- a/stileloft/coordination/preemption.py
+++ b/stileloft/coordination/preemption.py
@@ -10,6 +10,7 @@
 import heapq
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
+from typing import Any
 
 from stileloft.coordination import gangs
 from stileloft.coordination.snapshot import (
@@ -57,8 +58,11 @@
                     and beyond_guarantee(teams.get(task.team), usage.get(task.team, Usage())))
         if lower or borrowed:
             found.append(task)
-    return sorted(gangs.units(found), key=lambda victim: (
-        victim[0].rank, not victim[0].safe, victim[0].unsaved_s * victim[0].cpus * victim[0].together, victim[0].key))
+    def order(victim: Victim) -> tuple[Any, ...]:
+        task = victim[0]
+        return task.rank, not task.safe, task.fresh, task.unsaved_s * task.cpus * task.together, task.key
+
+    return sorted(gangs.units(found), key=order)
 
 
 def beside(spec: JobSpec, nominated: Iterable[Nomination]) -> Room:
@@ -122,18 +126,19 @@
     return victims
 
 
-def loss(victims: list[Running]) -> tuple[float, float, int]:
-    """What a machine's victims cost: highest priority first, then unsaved work, then their number."""
+def loss(victims: list[Running]) -> tuple[float, int, float, int]:
+    """What a machine's victims cost: highest priority first, then starts undone, unsaved work, and their number."""
     # Of a gang all tasks go, wherever they are.
     going = [(victim[0], victim[0].together) for victim in gangs.units(victims)]
     return (
         max((task.rank for task in victims), default=-1),
+        sum(together for task, together in going if task.fresh),
         sum(task.unsaved_s * task.cpus * together for task, together in going),
         sum(together for _, together in going),
     )
 
 
-Order = tuple[float, float, int, int, str]
+Order = tuple[float, int, float, int, int, str]
 
 
 class Spares:
--- a/stileloft/coordination/snapshot.py
+++ b/stileloft/coordination/snapshot.py
@@ -34,6 +34,8 @@
     """Stopping it does not yet break its job's budget."""
     together: int = 1
     """How many tasks go with it, itself included: all of its gang."""
+    fresh: bool = False
+    """Stopped now it would not count as started, and its class is to start soon."""
 
 
 @dataclass(slots=True, eq=False)
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -446,6 +446,7 @@
 def test_a_stopped_attempt_stays_known_while_repeats_of_its_start_may_come() -> None:
     world = World(seed=21, loss=0.0)
     world.submit(world.job(1, pieces=1, guessS=80.0))
+    world.lengths["j-000001/0"] = 200.0
     world.run(40)
     term = world.nodes[world.leader()].term
     (name,) = {m.name for m in world.rules.where.values()}
