A new leader stops nothing before it has read the store; large records broken up at the change of format

Records that production left beyond the limit to come were brought into pieces only when something of them changed; now at the change of format and on take-over. Room kept for gangs counted as room for others, for which nothing was rented then.

--- a/stileloft/coordination/dispatch.py
+++ b/stileloft/coordination/dispatch.py
@@ -76,7 +76,8 @@
                 machine.notice_until = now + report.notice_s
                 machine.draining = "taken away"
                 term.poke()
-        if machine.trusted:
+        if machine.trusted and term.loaded:
+            # Before the store was read, all of its tasks would look as if they were not to be there, and be stopped.
             self._take_tasks(machine, report.tasks, now)
         machine.idle_since = None if machine.placements or machine.strays else (machine.idle_since or now)
         return machine
@@ -254,7 +255,8 @@
         """Sends what the machine has to do, one message at a time."""
         term = self.term
         now = term.clock.seconds()
-        if machine.sending or not machine.address or now < machine.retry_at or not term.confirmed():
+        if (machine.sending or not machine.address or now < machine.retry_at or not term.confirmed()
+                or not term.loaded):
             return
         starts = self._starts(machine)[:MAX_COMMANDS]
         commands = self._stops(machine)
--- a/stileloft/coordination/gangs.py
+++ b/stileloft/coordination/gangs.py
@@ -200,12 +200,13 @@
     taken: dict[str, int] = {}
     for spec, count in snapshot.expected:
         zones = by_zone(spec, (node for node in snapshot.nodes.values() if node.up and node.ready))
-        rooms = {zone: [(free_slots(spec, node) - taken.get(node.id, 0), node.id) for node in there]
+        rooms = {zone: [(free_slots(spec, node) - taken.get(node.id, 0), len(node.images), node.id) for node in there]
                  for zone, there in zones.items()}
         if not rooms:
             continue
-        zone = max(rooms, key=lambda zone: (min(count, sum(max(0, room) for room, _ in rooms[zone])), zone))
-        for room, name in sorted(rooms[zone], reverse=True):
+        zone = max(rooms, key=lambda zone: (min(count, sum(max(0, room) for room, _, _ in rooms[zone])), zone))
+        # First where images are likely to be, then where much of it is in one place.
+        for room, _, name in sorted(rooms[zone], key=lambda item: (-item[1], -item[0], item[2])):
             for _ in range(min(room, count)):
                 found.append(Nomination((EXPECTED, len(found)), name, spec.rank, spec, 0.0))
                 taken[name] = taken.get(name, 0) + 1
@@ -214,8 +215,12 @@
 
 
 def beside(job: Waiting, nominated: Iterable[Nomination]) -> list[Nomination]:
-    """The nominations that a gang has to leave room for: not that of gangs like it that are expected."""
-    return [n for n in nominated if n.key[0] != EXPECTED or (n.rank > job.spec.rank and not job.first)]
+    """The nominations that a job has to leave room for: not all of those of gangs that are only expected.
+
+    Gangs like these may take their room, and so may jobs that have grown old.
+    """
+    spec = job.spec
+    return [n for n in nominated if n.key[0] != EXPECTED or not job.first and (not spec.is_gang or n.rank > spec.rank)]
 
 
 def leave(snapshot: Snapshot, victims: Iterable[Running]) -> list[str]:
--- a/stileloft/coordination/leader.py
+++ b/stileloft/coordination/leader.py
@@ -61,6 +61,8 @@
 AGED_PART = 0.6
 AGED_LEAST = 0.25
 CROWD_PART = 0.9
+# Machines kept for a class that is to start soon and has not been seen: some gangs come while more are booting.
+UNSEEN_MACHINES = 3
 # A start counts for users if nothing stops the task within this time (PROTOCOL, how aims are counted).
 STARTED_S = 30.0
 PLAN_S = 2.0
@@ -237,6 +239,8 @@
                 job.recount()
                 for placement in job.placements():
                     self.attach(placement)
+                if self.node.format >= 1:
+                    self._break_up(job)
                 if job.over:
                     self._stop_all(job)
                     if not job.placed:
@@ -340,8 +344,16 @@
                 job.most_placed = None
                 if not job.over and not job.size_stored:
                     self.dirty[job.id] = None
+                self._break_up(job)
         self.poke()
 
+    def _break_up(self, job: Job) -> None:
+        """Has records beyond the limit to come written in pieces, before an end or a cancellation needs it."""
+        for chunk in job.chunks.values():
+            if not chunk.parts and records.size_of(chunk.record(job.spec, job.size)) > self.limits.value_bytes:
+                chunk.dirty = True
+                self.touch(job)
+
     def _learn(self, job: Job) -> None:
         """Keeps what a class's jobs are like and how often they come, for headroom."""
         load = self.classes.get(job.spec.job_class)
@@ -695,12 +707,12 @@
                 factor = settings.headroom if self._allowance(spec) < 0 else 0.0
             found.append((spec, math.ceil(factor * self._crowd(load) * load.tasks)))
         if gang and self.clock.seconds() - self.started_at > self.settings.workers.report_s:
-            found += [(spec, 1) for spec in self._unseen()]
+            found += [(spec, UNSEEN_MACHINES) for spec in self._unseen()]
         found.sort(key=lambda item: -item[0].rank)
         return found
 
     def _unseen(self) -> list[JobSpec]:
-        """A small machine at the full price for each class that is to start soon and of which nothing has come.
+        """Small machines at the full price for each class that is to start soon and of which nothing has come.
 
         It may turn out to be one of gangs, which stop nobody, or one that may use no spot machine, and its
         first jobs would wait for a boot.
--- a/stileloft/coordination/placement.py
+++ b/stileloft/coordination/placement.py
@@ -97,7 +97,8 @@
          goal_s: float | None) -> float:
     """How bad a machine is for a task that fits there; lower is better."""
     fetch_s = fetch_time(spec, node)
-    weight = FETCH_WEIGHT_URGENT if spec.rank >= 2 else FETCH_WEIGHT
+    # All tasks of a gang wait for the last image.
+    weight = FETCH_WEIGHT_URGENT if spec.rank >= 2 or (spec.is_gang and goal_s is not None) else FETCH_WEIGHT
     total = weight * fetch_s
     if goal_s is not None and fetch_s > GOAL_PART * goal_s:
         total += MISSED_GOAL
@@ -191,7 +192,7 @@
         if spec.cpus > node.cpus + EPSILON or node.id in job.avoid or not allowed(spec, node):
             return
         reserved = about.reserved.get(node.id, ())
-        if not preemption.room_beside(spec, node, gangs.beside(job, reserved) if spec.is_gang else reserved):
+        if not preemption.room_beside(spec, node, gangs.beside(job, reserved) if reserved else reserved):
             return
         hold = about.snapshot.holds.get(node.id)
         if hold is not None and not hold.lets(spec, job.estimate_s):
--- a/stileloft/coordination/scaling.py
+++ b/stileloft/coordination/scaling.py
@@ -1,5 +1,6 @@
 """Which machines to rent and which to return."""
 
+import math
 from dataclasses import dataclass, field
 
 from stileloft.bookkeeping.model import fits_type
@@ -145,7 +146,7 @@
         for node in nodes:
             while count and allowed(spec, node) and zone_allowed(spec, zones, node.zone) and node.has_room(
                     spec.cpus, spec.gpus or 0.0, spec.memory_gb):
-                node.take(as_running(spec, (spec.id, -index - count)))
+                node.take(as_running(spec, (spec.id, -index - count), remaining_s=math.inf))
                 zones[node.zone] = zones.get(node.zone, 0) + 1
                 count -= 1
         return count
@@ -170,22 +171,24 @@
     usable = [node for node in copies if node.ready]
     # Room that is there anyway comes first, and idle machines at the full price last.
     usable.sort(key=lambda node: (not node.spot, not node.tasks, node.id))
+    for job, count in unmet:
+        if job.spec.is_gang:
+            room_for_gang(job.spec, count, 0)
+    for spec, count in snapshot.expected:
+        room_for_gang(spec, count, 1)
     for job, count in unmet:
         spec = job.spec
         if spec.is_gang:
-            room_for_gang(spec, count, 0)
             continue
         zones = dict(job.zones)
         left = take(spec, count, zones, coming, 0)
-        if left and soon_served(spec, left, snapshot):
+        if left and soon_served(spec, left, snapshot, copies):
             continue
         while left:
             new = rent(spec, zones, not pays_full_price(job, snapshot))
             if new is None:
                 break
             left = take(spec, left, zones, [new], 0)
-    for spec, count in snapshot.expected:
-        room_for_gang(spec, count, 1)
     smallest = min((kind.cpus for kind in snapshot.types.values()), default=0.0)
     large_tasks = any(task.cpus > smallest for node in snapshot.nodes.values() for task in node.tasks)
     for spec, count in headroom:
@@ -223,12 +226,15 @@
     return -LATE_BOOTS * ready_s < spare_s < EARLY_BOOTS * ready_s
 
 
-def soon_served(spec: JobSpec, count: int, snapshot: Snapshot) -> bool:
-    """Whether the present machines will have room well before a new one could be up."""
+def soon_served(spec: JobSpec, count: int, snapshot: Snapshot, nodes: list[Node]) -> bool:
+    """Whether the present machines will have room well before a new one could be up.
+
+    What gangs are to have of it is taken already: a job that waited for that room would wait for ever.
+    """
     soon = 0
     boot_s = min((kind.boot_s for kind in snapshot.types.values() if fits_type(spec, kind)), default=0.0)
     horizon = WAIT_BOOTS * boot_s
-    for node in snapshot.nodes.values():
+    for node in nodes:
         if not node.ready or not node.up or not allowed(spec, node):
             continue
         cpus, memory_gb = node.cpus, node.memory_gb
