The gap: an answer renews a lease only with what is cancelled known, and carries the stops

Cause: a leader was bounded only while unconfirmed, and counted what it knew of cancellations from when a watch's answer came, plus the 4 s that a watch may wait. One that had not read the store answered without any stop; a known cancellation waited while the job was being stored or read again, in an outage without an end. Change: Term.may_renew is the one bound. It asks for a lease confirmed, and for a question about cancellations sent, within the grace; what counts is when the question was sent. Before the store is read nothing is renewed. Each answer that renews carries the stops of all jobs that are over, also to a worker with an older token, so several leaders one after the other keep a cancelled task no longer than one does. A watch now waits for half of the leader's lease. After a commit without an answer the job's record is written once more, which bars the late copy; before, its placements came on top of what was given to others. Submissions that lack a field that may not be null get 400. Ruled out: the sum of two graces at 12 ms between election and outage alone, which the reserve in the grace covers.

Two gang tests let the cloud have large machines only: with one machine in all, which type was rented first was a matter of the network's delays.

--- a/stileloft/bookkeeping/model.py
+++ b/stileloft/bookkeeping/model.py
@@ -115,6 +115,8 @@
         self.busy = False
         """A transaction about this job is under way, or its outcome is unknown."""
         self.reload = False
+        self.late_copy = False
+        """A transaction got no answer, and may still be executed, after newer ones."""
         self.dirty = False
         self.pressing = False
         """What is to be written of it cannot wait, as completions can that leave more to do."""
@@ -301,8 +303,10 @@
     """Its newest report carries our own token."""
     reported: bool = False
     heard_at: float = 0.0
-    answered_at: float | None = None
-    """When the last report that we answered came in."""
+    claimed: bool = False
+    """A report with our own token has come: no former leader renews its lease any more."""
+    renewed_at: float = float("-inf")
+    """When its worker's lease last began anew, or may have: an answer of ours, a claim, a new session."""
     reached_at: float = float("-inf")
     """When it was last known to hear us."""
     first_seen: float = 0.0
--- a/stileloft/coordination/dispatch.py
+++ b/stileloft/coordination/dispatch.py
@@ -59,9 +59,14 @@
                      ", spot" if machine.spot else "")
             term.poke()
         new_session = report.session != machine.session
+        new_session = report.session != machine.session
         machine.session, machine.seq = report.session, report.seq
         was_trusted = machine.trusted
         machine.trusted = report.token == term.token
+        if new_session or machine.trusted and not machine.claimed:
+            # A session that nobody answers lasts for a lease as well, and what was started in it lives as long.
+            machine.renewed_at = now
+        machine.claimed = machine.claimed or machine.trusted
         machine.reported = True
         if machine.trusted and not was_trusted:
             term.poke()
@@ -179,13 +184,12 @@
             machine.reached_at = float("-inf")  # its tasks were lost though we answered: ask whether it hears us
         elif now - before < UNANSWERED_S:
             machine.reached_at = max(machine.reached_at, before)  # or it would not report to us again so soon
-        machine.answered_at = now
-        commands: list[dict[str, Any]] = []
-        if machine.trusted and machine.session == report.session:
-            # Stops do no harm, even if we lead no longer: the token sees to that.
-            commands = self._stops(machine)
-            if term.confirmed():
-                commands += self._forgets(machine)
+        machine.renewed_at = now
+        # Stops do no harm, even if we lead no longer: the token sees to that. A worker that does not know ours
+        # learns it with this answer, which renews its lease, and so has to tell it what is cancelled.
+        commands = self._stops(machine, renewing=True)
+        if machine.trusted and term.confirmed():
+            commands += self._forgets(machine)
         if machine.trusted and not machine.sending and self._starts(machine):
             self.send(machine)
         elif not machine.trusted:
@@ -201,7 +205,7 @@
     def _starts(self, machine: Machine) -> list[Placement]:
         """Placements whose task has to be started, or whose start has to be repeated."""
         term = self.term
-        if not term.confirmed() or not machine.trusted or machine.releasing:
+        if not term.confirmed() or not term.informed() or not machine.trusted or machine.releasing:
             return []
         # A start without an answer may be executed at any later time. One that is to be stopped by
         # now is repeated too: only a task that was seen can be told to exit, and so be let go.
@@ -212,18 +216,24 @@
         ready = {job_id: gangs.may_start(term.jobs[job_id]) for job_id in {p.job for p in found}}
         return [p for p in found if p.stop_grace is not None or ready[p.job]]
 
-    def _stops(self, machine: Machine) -> list[dict[str, Any]]:
+    def _stops(self, machine: Machine, renewing: bool = False) -> list[dict[str, Any]]:
+        """What the machine has to stop; `renewing`: for an answer, which tells it of all jobs that are over."""
         now = self.term.clock.seconds()
-        commands = []
+        commands, others = [], []
         for placement in machine.placements.values():
-            if (placement.stop_grace is not None and placement.state == BOUND
-                    and now >= placement.stop_at + REPEAT_STOP * self.report_s):
-                if placement.seen is None and placement.sent_session is None:
-                    continue
+            if placement.stop_grace is None or placement.state != BOUND:
+                continue
+            command = messages.stop(placement.task, placement.attempt, placement.stop_grace)
+            if renewing and self.term.is_over(placement.job):
+                # Whatever became of the stops before: the lease is renewed, so this answer has to carry one.
+                placement.stop_at = now
+                commands.append(command)
+            elif now >= placement.stop_at + REPEAT_STOP * self.report_s and not (
+                    placement.seen is None and placement.sent_session is None):
                 placement.stop_at = now
-                commands.append(messages.stop(placement.task, placement.attempt, placement.stop_grace))
-        for task, stray in machine.strays.items():
-            commands.append(messages.stop(task, stray.attempt, 0.0))
+                others.append(command)
+        commands += others
+        commands += [messages.stop(task, stray.attempt, 0.0) for task, stray in machine.strays.items()]
         return commands
 
     def _forgets(self, machine: Machine) -> list[dict[str, Any]]:
--- a/stileloft/coordination/fleet.py
+++ b/stileloft/coordination/fleet.py
@@ -159,10 +159,13 @@
     def session_over(self, machine: Machine, now: float) -> bool:
         """Whether the machine's tasks are certainly killed, by its worker's lease."""
         margin = self.lease_s * (MARGIN_LEASES + 2 * DRIFT)
-        if machine.answered_at is not None:
-            return now > machine.answered_at + self.lease_s + margin
-        # A former leader may have answered it without being confirmed, for its grace.
-        return now > self.term.started_at + self.term.grace_s + self.lease_s + margin
+        # Until the worker is known to have our token, a former leader may answer it without being confirmed,
+        # for its grace. That we answered a report shows nothing: it may have been an old one, which came just
+        # as our term began, and whose worker hears the former leader still.
+        renewed_at = machine.renewed_at
+        if not machine.claimed:
+            renewed_at = max(renewed_at, self.term.started_at + self.term.grace_s)
+        return now > renewed_at + self.lease_s + margin
 
     def _check_one(self, machine: Machine, now: float, deaf: bool) -> None:
         term = self.term
--- a/stileloft/coordination/leader.py
+++ b/stileloft/coordination/leader.py
@@ -68,7 +68,12 @@
 PLAN_S = 2.0
 # How often the other controllers are asked which format they read, until all read the newest.
 FORMAT_S = 1.0
-WATCH_S = 4.0
+# A watch waits for this part of the leader's lease: until it is answered, nothing shows that it still hears.
+WATCH_LIVES = 0.5
+# Nothing is started when we have heard nothing of cancellations for so many of these.
+INFORMED_WATCHES = 4.0
+# How soon it is looked again whether a job whose record is gone has no transaction under way any more.
+SETTLE_S = 0.25
 # What one round places, as a multiple of the changes in a transaction.
 PLACED_TXNS = 2
 MAX_EVICTIONS = 8
@@ -138,15 +143,17 @@
         self.dispatch = Dispatch(self)
         self.fleet = Fleet(self)
         self.revision = 0
-        self.informed_at = self.started_at
-        """When the store last answered our watch of jobs."""
+        self.watch_s = node.election.life_s * WATCH_LIVES
+        self.informed_at = float("-inf")
+        """Until then we know of all cancellations: when we sent the newest question that the store answered."""
         self.last_decision: dict[str, Any] = {}
         self._round_running = False
         self._round_due: Any = None
         self._round_again = False
         self._round_at = 0.0
         self._planned_at = 0.0
-        self._dropped: dict[str, None] = {}
+        self._dropped: dict[str, float] = {}
+        """Jobs let go of, and when: the watch may not have come as far as that."""
         self.wait_goals = self._goals("wait")
         self.finish_goals = self._goals("finished")
 
@@ -177,8 +184,21 @@
         return self.alive and self.node.election.confirmed()
 
     def uninformed_for(self) -> float:
-        """Seconds since we last knew of all cancellations, beyond what a watch may wait."""
-        return max(0.0, self.clock.seconds() - self.informed_at - WATCH_S)
+        """Seconds since we last knew of all cancellations; without end before the store was read."""
+        return self.clock.seconds() - self.informed_at
+
+    def informed(self) -> bool:
+        """Whether we hear of cancellations, so that nothing is started of a job that is long over."""
+        return self.uninformed_for() <= INFORMED_WATCHES * self.watch_s
+
+    def may_renew(self) -> bool:
+        """Whether an answer of ours may renew a worker's lease: the bound that `blind_grace` derives.
+
+        It asks for both. A leader that others may have replaced, or one that still leads but hears nothing of
+        cancellations, must not keep tasks alive for longer. Each answer that renews carries the stops of all
+        cancellations known, so one after the other several leaders keep a cancelled task no longer than one.
+        """
+        return self.loaded and max(self.node.election.blind_for(), self.uninformed_for()) <= self.grace_s
 
     def depose(self, reason: str) -> None:
         if self.alive:
@@ -214,6 +234,7 @@
 
     async def _load(self) -> None:
         # The watch continues from the first read, so that nothing is missed in between.
+        asked_at = self.clock.seconds()
         active, revision = await self.state.scan(records.ACTIVE)
         chunks, _ = await self.state.scan(records.TASKS)
         rented, _ = await self.state.scan(records.RENTED)
@@ -252,17 +273,19 @@
             for key, value, _ in images:
                 self.fleet.load_images(key[len(records.IMAGES):], value)
             self.revision = revision
+            self.informed_at = asked_at
 
     async def _watch_loop(self) -> None:
         while self.alive:
             try:
-                revision, events = await self.state.watch(records.ACTIVE, self.revision, WATCH_S)
+                asked_at = self.clock.seconds()
+                revision, events = await self.state.watch(records.ACTIVE, self.revision, self.watch_s)
                 if not self.alive:
                     return
-                self.revision = revision
-                self.informed_at = self.clock.seconds()
                 for key, value, version in events:
                     self._on_change(key[len(records.ACTIVE):], value, version)
+                self.revision, self.informed_at = revision, asked_at
+                self._forget_dropped()
             except Compacted:
                 await self._resync()
             except (Unavailable, Unknown) as error:
@@ -273,6 +296,7 @@
                 await self.sleep(0.5)
 
     async def _resync(self) -> None:
+        asked_at = self.clock.seconds()
         active, revision = await self.state.scan(records.ACTIVE)
         listed = set()
         for key, value, version in active:
@@ -281,7 +305,7 @@
         for job in list(self.jobs.values()):
             if job.id not in listed and job.version <= revision:
                 self._on_change(job.id, None, revision)
-        self.revision = revision
+        self.revision, self.informed_at = revision, asked_at
 
     def _on_change(self, job_id: str, value: Any, version: int) -> None:
         """A job's record was written by somebody, perhaps by us."""
@@ -296,12 +320,21 @@
             return
         if job is None or job.over:
             return
-        # Gone from `active/`: cancelled by its user, or finished by a commit of ours
-        # whose answer is still on its way. The store tells which.
-        if not job.busy:
-            self.ledger.start_reload(job)
+        # Gone from `active/`: cancelled by its user, or finished by a commit of ours whose answer is still on
+        # its way. In both cases nothing of it may run. What is being stored of it may take as long as an
+        # outage, so the stops don't wait for that; which of the two it was, the store tells then.
+        with self.lock:
+            self.job_over(job, "over")
+        self._settle(job)
+
+    def _settle(self, job: Job) -> None:
+        """Learns what the store holds of a job that is over, once no transaction about it is under way."""
+        if not self.alive or self.jobs.get(job.id) is not job or job.over != "over":
+            return
+        if job.busy:
+            self.clock.callLater(SETTLE_S, self._settle, job)
         else:
-            self.clock.callLater(0.05, self._on_change, job_id, None, version)
+            self.ledger.start_reload(job)
 
     def _adopt(self, job: Job) -> None:
         """Takes in an accepted job."""
@@ -385,6 +418,8 @@
             machine = self.machine(placement.machine)
             machine.placements[placement.key] = placement
             machine.idle_since = machine.view = None
+            # When it was bound is not stored; no doubt about it can be older than our knowing of it.
+            placement.bound_at = placement.bound_at or self.clock.seconds()
 
     def _changed(self, placement: Placement) -> None:
         machine = self.machines.get(placement.machine)
@@ -561,7 +596,7 @@
         return max(0.5, spec.estimate_s * self.ratios.get(spec.job_class, 1.0))
 
     def job_over(self, job: Job, phase: str) -> None:
-        if job.over is None:
+        if job.over is None or job.over == "over":
             job.over = phase
             log.info("job %s is %s", job.id, phase)
         self._stop_all(job)
@@ -587,15 +622,18 @@
     def drop_job(self, job: Job) -> None:
         self.jobs.pop(job.id, None)
         # The watch may still bring a record of it from before its end.
-        self._dropped[job.id] = None
-        if len(self._dropped) > 1000:
-            del self._dropped[next(iter(self._dropped))]
+        self._dropped[job.id] = self.clock.seconds()
         self.dirty.pop(job.id, None)
         for key in [k for k in self.nominations if k[0] == job.id]:
             del self.nominations[key]
         for pair in [k for k in self.avoided if k[0] == job.id]:
             del self.avoided[pair]
 
+    def _forget_dropped(self) -> None:
+        """What was asked of the store after a job was let go of brings no record of it any more."""
+        while self._dropped and next(iter(self._dropped.values())) < self.informed_at:
+            del self._dropped[next(iter(self._dropped))]
+
     # -- events -------------------------------------------------------------------
 
     def on_report(self, report: Report) -> dict[str, Any]:
@@ -608,6 +646,12 @@
         self.after_report()
         return answer
 
+    def on_unanswered(self, report: Report) -> None:
+        """Takes in a report whose worker must not count on us: before the store is read, or once we know too little."""
+        if report.machine not in self.fleet.gone:
+            with self.lock:
+                self.dispatch.observe(report)
+
     def after_report(self) -> None:
         if self.dirty and self.loaded:
             self.ledger.later(0.02)
--- a/stileloft/coordination/ledger.py
+++ b/stileloft/coordination/ledger.py
@@ -347,6 +347,7 @@
             self.in_flight -= 1
             log.info("commit without an answer: %s", error)
             for entry in batch:
+                entry.job.late_copy = True
                 self.start_reload(entry.job)
             return
         self.in_flight -= 1
@@ -420,15 +421,30 @@
         while term.alive:
             try:
                 found = await term.state.get(records.active_key(job.id))
+                if found is not None and job.late_copy:
+                    # What got no answer may be executed seconds later, when its placements would come on top of
+                    # what was given to others meanwhile. It is guarded on this version of the job's record: written
+                    # once more, the record bars it for good.
+                    if not term.writes.take(1.0):
+                        await term.sleep(REFUSED_S)
+                        continue
+                    barred = await term.state.commit({records.LEADER: term.token, records.active_key(job.id): found[1]},
+                                                     {records.active_key(job.id): found[0]}, [])
+                    found = found[0], barred, None
                 phase = None
                 if found is None:
                     final = await term.state.get(records.final_key(job.id))
                     phase = final[0]["phase"] if final else "cancelled"
                 chunks, _ = await term.state.scan(f"{records.TASKS}{job.id}/")
                 break
+            except Conflict as conflict:
+                if records.LEADER in conflict.failed:
+                    term.depose("the leader key has another version")
+                    return
+                await term.sleep(REFUSED_S / 3)  # it was cancelled, or what got no answer is executed by now
             except (Unavailable, Unknown) as error:
                 log.debug("reading %s again: %s", job.id, error)
-                await term.sleep(0.3)
+                await term.sleep(REFUSED_S)
         if not term.alive:
             return
         with term.lock:
@@ -437,7 +453,7 @@
                 job.load_active(found[0], found[1])
             job.load_chunks(chunks)
             job.recount()
-            job.busy = job.reload = False
+            job.busy = job.reload = job.late_copy = False
             kept = {id(p) for p in job.placements()}
             for placement in before:
                 if id(placement) not in kept:
--- a/stileloft/coordination/node.py
+++ b/stileloft/coordination/node.py
@@ -34,7 +34,7 @@
 from stileloft.settings import Settings, Workers, split_address
 from stileloft.transport.client import Client
 from stileloft.transport.server import Answer, Router, make_site, retry_later
-from stileloft.transport.sockets import Sockets
+from stileloft.transport.sockets import KEEP_COMMANDS, Sockets
 
 log = logging.getLogger(__name__)
 
@@ -65,6 +65,8 @@
 # How long leaders answer reports unconfirmed, as a multiple of the workers' lease; less where
 # tasks would otherwise outlive the cancellation of their job.
 GRACE_LEASES = 3.0
+# A new leader claims machines before their workers have come to it: for so long, in the workers' leases.
+CLAIMING_LEASES = 0.5
 # A node that neither the state service nor any peer answers for so long sends users elsewhere.
 ALONE_S = 3 * SERVED_S
 
@@ -84,7 +86,7 @@
         wire = connect(reactor, messages.encode, messages.decode, b"application/cbor",
                       per_host=8, connect_s=2.0, idle_s=60.0)
         commands = connect(reactor, messages.encode, messages.decode, b"application/cbor",
-                          per_host=1, connect_s=1.0, idle_s=60.0, keep=self.sockets.keep_commands)
+                          per_host=1, connect_s=1.0, idle_s=60.0, keep=self.keep_commands)
         self.state = StateClient(reactor, wire, settings.external.state, STATE_TIMEOUT_S)
         peers = connect(reactor, orjson.dumps, orjson.loads, b"application/json", per_host=1, connect_s=PEER_TIMEOUT_S,
                         idle_s=60.0)
@@ -237,6 +239,15 @@
     def healthy(self) -> bool:
         return bool(self.types) and not self.refused
 
+    def keep_commands(self) -> bool:
+        """Whether a connection to a worker is kept once its request is answered."""
+        term, deployment = self.term, self.settings.deployment
+        if term is not None:
+            claiming = self.reactor.seconds() - term.started_at < CLAIMING_LEASES * deployment.workers.lease_s
+            if claiming and 2 * len(term.machines) > KEEP_COMMANDS * deployment.quota.max_sockets:
+                return False  # the sockets will be wanted by the workers themselves
+        return self.sockets.keep_commands()
+
     # -- leadership -----------------------------------------------------------
 
     def _elected(self, token: int) -> None:
@@ -260,8 +271,9 @@
             if leader is not None and leader != self.settings.member:
                 return Answer(421, {"steward": leader})
             return Answer(421, {})
-        if not self.election.confirmed() and max(self.election.blind_for(), term.uninformed_for()) > self.grace_s:
-            return retry_later(503, "leadership is not confirmed", 1)
+        if not term.may_renew():
+            term.on_unanswered(report)
+            return retry_later(503, "leadership is not confirmed, or cancellations are not known", 1)
         return Answer(200, term.on_report(report))
 
     def _refer(self, report: Report) -> None:
@@ -333,10 +345,12 @@
 
 
 def blind_grace(workers: Workers, life_s: float) -> float:
-    """How long a leader may answer reports without knowing that it still leads.
+    """How long a leader may answer reports without knowing that it still leads, or what users cancel.
 
-    Meanwhile others may tell users that jobs are cancelled, of which it hears nothing. What it keeps alive
-    ends a worker's lease after its last answer, which must be before the time for a cancellation is over.
+    The earliest cancellation that it may not know of is confirmed when it last knew of all (`Term.informed_at`).
+    A worker counts its lease from when it sent the report, which is before the answer. So what an answer keeps
+    alive is gone after this grace and one lease, with what clocks and their checks may add; that must be within
+    the time for a cancellation. A lease of the leader and a time-out of the state service are left as a reserve.
     """
     latest = workers.cancel_s - workers.lease_s * (1 + MARGIN_LEASES + 2 * DRIFT) - life_s - STATE_TIMEOUT_S
     return max(0.0, min(GRACE_LEASES * workers.lease_s, latest))
--- a/stileloft/protocol/messages.py
+++ b/stileloft/protocol/messages.py
@@ -13,6 +13,9 @@
 
 JOB_ID = r"^j-[0-9]{1,30}$"
 MAX_TASKS = 100_000
+# Fields of a submission that the protocol lets be neither null nor left out; the others that it has are checked
+# by their types below.
+NEVER_NULL = ("accelerators", "snapshotS", "stashS", "together", "spread", "loaner")
 
 Name = Annotated[str, Meta(min_length=1, max_length=200)]
 Amount = Annotated[float, Meta(ge=0)]
@@ -83,6 +86,10 @@
 def parse_job(body: Any) -> JobSpec:
     if not isinstance(body, dict):
         raise Malformed("the body must be a map")
+    for name in NEVER_NULL:
+        # Stored records leave out what is zero or false; a user has to say it.
+        if body.get(name) is None:
+            raise Malformed(f"{name} is missing")
     try:
         spec = msgspec.convert(body, JobSpec)
     except msgspec.ValidationError as error:
--- a/tests/test_gangs.py
+++ b/tests/test_gangs.py
@@ -207,6 +207,7 @@
     """All are told at once: more pressing work takes its place, and nothing of its progress is lost."""
     world = World(seed=41, loss=0.0)
     world.cloud.most = 1
+    world.cloud.kinds = {"large"}
     world.submit(gang(world, 1, pieces=4, vcpus=6.0, builds=["large"], guessS=40.0, together=False))
     world.lengths["j-000001/0"] = 40.0
     world.run(45)
@@ -222,6 +223,7 @@
     """Room for seven of eight is room for none; small tasks that fill each hole do not keep it out for ever."""
     world = World(seed=42, loss=0.0)
     world.cloud.most = 1
+    world.cloud.kinds = {"large"}
     for number in range(90):
         world.clock.callLater(1.0 + 2.0 * number, world.submit, world.job(
             1000 + number, pieces=2, vcpus=4.0, guessS=7.0, builds=["large"], crew=("core", "edge")[number % 2]))
