--- a/stileloft/coordination/fleet.py
+++ b/stileloft/coordination/fleet.py
@@ -31,7 +31,9 @@
 # Silence after which a machine is given back, as a part of the lease and in report intervals.
 SILENT_LEASES = 0.5
 SILENT_REPORTS = 3.0
-# A machine that is not up after this multiple of its boot time is given back.
+# Boots take 1.5 times as long as the type says at the most, if nothing is wrong. One that is not up after the first of
+# these multiples does not count as coming any more, and after the second it is given back.
+LATE_BOOTS = 1.6
 BOOT_LIMIT = 3.0
 # How long an offer without capacity is left alone, in boot times.
 REFUSED_BOOTS = 0.5
@@ -173,9 +175,7 @@
             return
         heard = max(machine.heard_at, term.started_at)
         if machine.up_since is None and machine.listed_state != "running" and not machine.placements:
-            kind = term.types.get(machine.type)
-            boot_s = kind.boot_s if kind else self.lease_s
-            if now - (machine.rented_at or machine.first_seen) > BOOT_LIMIT * boot_s + self.lag_s:
+            if now - (machine.rented_at or machine.first_seen) > BOOT_LIMIT * self._boot_s(machine) + self.lag_s:
                 self.give_back(machine, "it did not come up")
             return
         if self.session_over(machine, now) and machine.placements:
@@ -200,6 +200,14 @@
         return (placement.state == BOUND and placement.seen is None and placement.sent_session == machine.session
                 and self.term.is_over(placement.job) and waited > self.lease_s)
 
+    def is_late(self, machine: Machine, now: float) -> bool:
+        """Whether a machine should be up by now and is not: others are rented for what waits for it."""
+        return now - (machine.rented_at or machine.first_seen) > LATE_BOOTS * self._boot_s(machine)
+
+    def _boot_s(self, machine: Machine) -> float:
+        kind = self.term.types.get(machine.type)
+        return kind.boot_s if kind else self.lease_s
+
     def give_back(self, machine: Machine, reason: str) -> None:
         """Returns a machine; once the cloud confirms it, everything on it is gone."""
         if machine.releasing:
--- a/stileloft/coordination/leader.py
+++ b/stileloft/coordination/leader.py
@@ -852,7 +852,7 @@
         if machine.draining is not None or machine.releasing:
             return False
         if machine.up_since is None:
-            return True
+            return not self.fleet.is_late(machine, now)
         return (machine.trusted and now - machine.heard_at <= self.fleet.quiet_s and machine.send_failures < 2
                 and self.dispatch.reaches(machine, now))
 
--- a/stileloft/coordination/scaling.py
+++ b/stileloft/coordination/scaling.py
@@ -100,7 +100,7 @@
     most_new = max(MAX_NEW, int(NEW_PART * max(len(snapshot.nodes), machines_for(unmet, snapshot.types))))
     max_new = min(most_new, settings.max_machines - len(snapshot.nodes))
     copies = [node.copy() for node in snapshot.nodes.values()]
-    coming = [node for node in copies if not node.up]
+    coming = [node for node in copies if not node.up and node.ready]
     in_zone: dict[tuple[str, str], int] = {}
     for node in copies:
         key = (node.type.name, node.zone)
@@ -194,7 +194,7 @@
     for spec, count in headroom:
         urgent = spec.rank >= 2
         rooms = [node for node in usable if node.spot or node.tasks or urgent]
-        rooms += [node for node in coming if not node.ready or node.id.startswith(NEW)]
+        rooms += [node for node in coming if node.id.startswith(NEW)]
         if large_tasks and spec.cpus <= smallest:
             # Others can only run on large machines: this class's usual tasks get small ones instead.
             count += sum(1 for node in snapshot.nodes.values() if node.type.cpus > smallest for task in node.tasks
--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -583,3 +583,19 @@
     """Where no command is held up on its way, beyond what was on it."""
     world = play(name, 3)
     assert len(world.rules.cancelled_at) >= 3 and world.rules.started_after == []
+
+
+def test_a_replacement_is_rented_before_a_late_machine_is_given_up() -> None:
+    """What never comes up counts as coming for 1.6 boots, not for the 3 after which it is returned."""
+    world = World(seed=9, loss=0.0)
+    boots(10.0, 1.0, 0.0, 0.0)(world)
+    world.submit(world.job(1, pieces=2))
+    world.run(10)
+    lost = set(world.cloud.machines)
+    assert lost
+    while not world.rules.begun_at and world.now < 100:
+        world.run(1.0)
+    # A boot takes up to 22.5 s here; plans are made every two seconds.
+    assert world.rules.begun_at["j-000001"] < 1.6 * 15.0 + 22.5 + 8.0
+    world.run(60)
+    assert not lost & set(world.cloud.machines) and world.rules.broken == []
