--- a/tests/test_protocol.py
+++ b/tests/test_protocol.py
@@ -37,6 +37,13 @@
         parse_job(GOOD | change)
 
 
+@pytest.mark.parametrize("field", [name for name in GOOD if name not in ("builds", "yard", "dueS")])
+def test_a_field_that_may_not_be_null_may_not_be_missing(field: str) -> None:
+    for wrong in ({k: v for k, v in GOOD.items() if k != field}, GOOD | {field: None}):
+        with pytest.raises(Malformed, match=field):
+            parse_job(wrong)
+
+
 @pytest.mark.parametrize("body", [None, [], "job", 3])
 def test_only_a_map_is_a_job(body: object) -> None:
     with pytest.raises(Malformed):
