--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -117,18 +117,19 @@
         machine.die()
 
 
-def hang(seconds: float) -> Callable[[World], None]:
-    def start(world: World) -> None:
-        for machine in [m for m in world.cloud.machines.values() if m.up][:2]:
-            machine.hung = True
+def hang_machines(machines: list, seconds: float) -> None:
+    for machine in machines:
+        machine.hung = True
 
-            def on(machine=machine) -> None:
-                machine.hung = False
-                machine.lapse()
+        def on(machine=machine) -> None:
+            machine.hung = False
+            machine.lapse()
 
-            world.clock.callLater(seconds, on)
+        machine.world.clock.callLater(seconds, on)
 
-    return start
+
+def hang(seconds: float) -> Callable[[World], None]:
+    return lambda world: hang_machines([m for m in world.cloud.machines.values() if m.up][:2], seconds)
 
 
 def machines_cut(world: World) -> None:
