An old report that comes first does not show that its worker hears us; tests for a new leader's first moments

That a worker reports again within 4.5 s shows that it got the answer before, but only once it is known to have our token. Four tests hit the functions that decide whether a session is over and whether a lease is renewed.

--- a/stileloft/coordination/dispatch.py
+++ b/stileloft/coordination/dispatch.py
@@ -176,7 +176,7 @@
         term = self.term
         now = term.clock.seconds()
         machine = term.machine(report.machine)
-        session, seq, before = machine.session, machine.seq, machine.heard_at
+        session, seq, before, claimed = machine.session, machine.seq, machine.heard_at, machine.claimed
         machine = self.observe(report)
         if (machine.session, machine.seq) == (session, seq):
             # A copy that comes late must show no sign of life. If it is the report itself, overtaken by the
@@ -184,8 +184,10 @@
             return messages.orders(0, [])
         if machine.session != session:
             machine.reached_at = float("-inf")  # its tasks were lost though we answered: ask whether it hears us
-        elif now - before < UNANSWERED_S:
-            machine.reached_at = max(machine.reached_at, before)  # or it would not report to us again so soon
+        elif claimed and now - before < UNANSWERED_S:
+            # Or it would not report to us again so soon. What came first may have been an old report, so it counts
+            # only once the worker is known to have our token.
+            machine.reached_at = max(machine.reached_at, before)
         machine.renewed_at = machine.came_at = now
         # Stops do no harm, even if we lead no longer: the token sees to that. A worker that does not know ours
         # learns it with this answer, which renews its lease, and so has to tell it what is cancelled.
--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -5,6 +5,7 @@
 import pytest
 
 from stileloft.coordination.leader import Term
+from stileloft.protocol import messages
 from stileloft.transport.client import Reply, Unanswered
 from tests.rules import CANCEL_S
 from tests.standins import TYPES, World
@@ -487,6 +488,94 @@
     assert world.rules.broken == [] and world.rules.last["j-000001"] == "done"
 
 
+# -- old reports and a new leader ------------------------------------------------------------------------------------
+
+def test_an_old_report_does_not_shorten_the_wait_for_a_former_leader() -> None:
+    """It comes first, is answered, and shows nothing: its worker may hear the former leader for a grace still."""
+    world = World(seed=8, loss=0.0)
+    long_jobs(world)
+    world.run(40)
+    machine = next(iter(world.rules.where.values()))
+    old = [machine.report() for _ in range(2)]
+    for name in world.names:
+        world.cut(name, machine.name, 90.0)
+    world.kill(world.leader(), None)
+    world.run(4)
+    leader = world.leader()
+    term = world.nodes[leader].term
+    for body in old:
+        assert world.deliver_report(leader, body).status == 200
+    known = term.machines[machine.name]
+    assert known.placements and not known.claimed
+    assert not term.dispatch.reaches(known, world.now)
+    assert not term.fleet.session_over(known, world.now + 1.2 * 12.0)
+    assert not term.fleet.session_over(known, term.started_at + term.grace_s + 12.0)
+    assert term.fleet.session_over(known, term.started_at + term.grace_s + 1.2 * 12.0)
+
+
+def test_a_new_session_that_nobody_answered_lasts_for_a_lease() -> None:
+    """What was started in it is not over when the lease of the session before is."""
+    world = World(seed=8, loss=0.0)
+    long_jobs(world)
+    world.run(40)
+    machine = next(iter(world.rules.where.values()))
+    term = world.nodes[world.leader()].term
+    known = term.machines[machine.name]
+    for name in world.names:
+        world.cut(machine.name, name, 90.0)
+    known.renewed_at = world.now - 11.9
+    machine.session += 1
+    term.dispatch.observe(messages.parse_report(machine.report()))
+    assert not term.fleet.session_over(known, world.now + 12.0)
+    assert term.fleet.session_over(known, world.now + 1.2 * 12.0)
+
+
+def test_before_the_store_is_read_no_lease_is_renewed() -> None:
+    world = World(seed=8, loss=0.0)
+    long_jobs(world)
+    world.run(40)
+    machine = next(iter(world.rules.where.values()))
+    scan = world.state.handle
+
+    def unread(caller: str, method: str, path: str, body: object) -> object:
+        if path.startswith("/kv?under=active/"):
+            return Reply(503, {"error": "trouble"})
+        return scan(caller, method, path, body)
+
+    world.state.handle = unread  # type: ignore[method-assign]
+    world.kill(world.leader(), None)
+    world.run(4)
+    leader = world.leader()
+    assert world.deliver_report(leader, machine.report()).status == 503
+    world.state.handle = scan  # type: ignore[method-assign]
+    world.run(2)
+    answer = world.deliver_report(leader, machine.report())
+    assert answer.status == 200 and answer.body["baton"] == world.nodes[leader].term.token
+
+
+def test_a_worker_with_an_older_token_is_told_what_is_cancelled() -> None:
+    """With the answer that renews its lease, also while the job is being read again, which an outage holds up."""
+    world = World(seed=8, loss=0.0)
+    long_jobs(world)
+    world.run(40)
+    (task, machine), *_ = world.rules.where.items()
+    job = task.rpartition("/")[0]
+    world.deaf[machine.name] = world.now + 30.0
+    world.kill(world.leader(), None)
+    world.run(4)
+    leader = world.leader()
+    term = world.nodes[leader].term
+    term.ledger.start_reload(term.jobs[job])
+    refuse_leader(world)
+    world.cancel(job)
+    world.run(0.01)
+    term._on_change(job, None, world.state.revision)
+    assert term.jobs[job].reload and not term.machines[machine.name].claimed
+    told = world.deliver_report(leader, machine.report()).body["orders"]
+    assert {order["piece"] for order in told if order["verb"] == "stop"} >= {
+        name for name, on in world.rules.where.items() if on is machine and name.startswith(job)}
+
+
 # -- the checker ---------------------------------------------------------------------------------------------------
 
 def told_world() -> World:
