Room held for an old job yields to others that wait, if it would stay empty for a minute

Cause, by reading: room held for a job older than 144 s let nobody in who did not fit beside it, however long it would stay empty; others, old ones too, would wait beside it for longer than the 90 s that the operators allow. A job of which nothing was placed for 60 s may now have it if it ends before, or if the old job can't have that room within 60 s.

--- a/stileloft/coordination/placement.py
+++ b/stileloft/coordination/placement.py
@@ -195,7 +195,7 @@
         if not preemption.room_beside(spec, node, gangs.beside(job, reserved) if reserved else reserved):
             return
         hold = about.snapshot.holds.get(node.id)
-        if hold is not None and not hold.lets(spec, job.estimate_s) and (hold.owner or not job.overdue):
+        if hold is not None and not hold.lets(spec, job.estimate_s, job.overdue):
             return
         weight = cost(spec, node, about.smallest_cpus, about.largest_cpus, about.scarce, job.goal_s)
         self._heap.append((weight, node.id, version))
--- a/tests/plain.py
+++ b/tests/plain.py
@@ -82,7 +82,7 @@
                 and zone_allowed(spec, job.zones, node.zone)):
             continue
         hold = snapshot.holds.get(node.id)
-        if hold is not None and not hold.lets(spec, job.estimate_s):
+        if hold is not None and not hold.lets(spec, job.estimate_s, job.overdue):
             continue
         if preemption.room_beside(spec, node, [n for n in nominations if n.machine == node.id]):
             found.append((cost(spec, node, min(kinds), max(kinds), scarce, job.goal_s), node.id))
@@ -132,13 +132,14 @@
     rest = Usage(used.cpus + spec.cpus * (job.count - 1), used.gpus)
     if not within_limit(spec, snapshot.teams.get(spec.team), rest):
         return None
-    heeded = [n for n in nominations if n.key[0] != "expected" or (n.rank > spec.rank and not job.first)]
+    heeded = [n for n in nominations
+              if n.key[0] != "expected" or (n.rank > spec.rank and not (job.first or job.overdue))]
     found = []
     for zone in sorted({node.zone for node in snapshot.nodes.values()}) if spec.one_zone else [""]:
         copied = copy.deepcopy(snapshot)
         copied.nodes = {name: node for name, node in copied.nodes.items() if zone in ("", node.zone)}
         tried = Waiting(spec, job.submitted, job.count, job.tasks, dict(job.zones), job.estimate_s, job.goal_s,
-                        job.avoid)
+                        job.avoid, overdue=job.overdue)
         placed, images_s = [], 0.0
         for index in job.tasks:
             target = find(tried, copied, heeded, scarce)
@@ -256,7 +257,7 @@
                         and preemption.room_beside(spec, node, [n for n in nominations if n.machine == node.id])):
                     target = node
             if target is None and not stuck:
-                heeded = [n for n in nominations if n.key[0] != "expected" or not job.first]
+                heeded = [n for n in nominations if n.key[0] != "expected" or not (job.first or job.overdue)]
                 target = find(job, snapshot, heeded, scarce)
             if target is not None:
                 take(job, key, target, snapshot)
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -12,6 +12,7 @@
 from stileloft.coordination.preemption import candidates, loss, preempt, room_beside
 from stileloft.coordination.scaling import Offer, plan
 from stileloft.coordination.snapshot import (
+    Hold,
     Node,
     Nomination,
     Running,
@@ -179,6 +180,7 @@
     for job in snapshot.waiting:
         job.goal_s = random.choice([None, 2.0])
         job.aged, job.begun = random.random() < 0.3, random.random() < 0.5
+        job.overdue = random.random() < 0.3
         job.avoid = frozenset(name for name in snapshot.nodes if random.random() < 0.1)
         if random.random() < 0.3 and not job.spec.is_gang:
             key, name = (job.spec.id, job.tasks[-1]), random.choice(list(snapshot.nodes))
@@ -225,7 +227,8 @@
         job = any_spec(number, draw.randint(1, 4), tasks=tasks, kind=kind, one_zone=draw.random() < 0.6,
                        spread=draw.random() < 0.2, spot=draw.random() < 0.4)
         waits.append(Waiting(job, float(draw.randint(0, 50)), tasks, list(range(tasks)), {}, float(draw.randint(2, 20)),
-                             draw.choice([None, 2.0]), aged=draw.random() < 0.2, begun=draw.random() < 0.5))
+                             draw.choice([None, 2.0]), aged=draw.random() < 0.2, begun=draw.random() < 0.5,
+                             overdue=draw.random() < 0.3))
     expected = [(any_spec(950 + i, 2, kind="gang", spot=i == 1, one_zone=i == 0), draw.randint(0, 8)) for i in range(2)]
     teams = {name: Team(name, team.cpus, 2 * team.cpus_max) for name, team in TEAMS.items()}
     return Snapshot(60.0, {n.id: n for n in nodes}, waits, teams, used(nodes), {}, {"small": SMALL, "large": LARGE},
@@ -363,3 +366,12 @@
     idle = node("n-2", SMALL, [], idle_s=100.0)
     assert scale([], [idle]).give_back == ["n-2"]
     assert scale([], [idle], settings=OperatorSettings(keep_idle_boots=100.0)).give_back == []
+
+
+def test_room_held_for_an_old_job_stays_empty_for_a_minute_at_the_most() -> None:
+    """Others that wait as well get it if they end before, or if the old job can't have it soon."""
+    small, wide = spec(1, 4.0), spec(2, 30.0)
+    for until_s, estimate_s, lets in ((20.0, 40.0, False), (20.0, 10.0, True), (100.0, 400.0, True)):
+        hold = Hold(until_s, 2.0, 0.0, 8.0, "j-000002")
+        assert hold.lets(small, estimate_s, overdue=True) is lets
+        assert not hold.lets(small, estimate_s) and not hold.lets(wide, estimate_s)
