--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -320,7 +320,7 @@
         return ask(caller, method, path, body)
 
     world.state.ask = ask_but_watch  # type: ignore[method-assign]
-    world.run(2)
+    world.run(6)  # a watch that was open before has ended
     for number in range(4):
         world.cancel(f"j-{number:06d}")
     watch_over_cancellations(world, CANCEL_S + 30.0)
