Held room: undone that room of old jobs yields to others

Room that is held for a job which is not old still yields to one that was not served for 60 s, as before. The test is that of the rule as it now is; the plain model keeps drawn jobs that were not served for long.

--- a/stileloft/coordination/snapshot.py
+++ b/stileloft/coordination/snapshot.py
@@ -8,8 +8,6 @@
 from stileloft.settings import Team
 
 EPSILON = 1e-6
-# Room for an old job may stay empty for so long, a part of the 240 s in which jobs are to begin.
-HELD_EMPTY_S = 0.25 * 240.0
 # The rank of what more pressing work may not stop.
 SHIELDED = max(PRIORITIES.values()) + 1
 
@@ -136,10 +134,8 @@
 
     def lets(self, spec: JobSpec, estimate_s: float, overdue: bool = False) -> bool:
         """Whether a job may use the room meanwhile; `overdue`: nothing of it was placed for long."""
-        if overdue:
-            # Nothing is to wait beside room that stays empty for long, whoever it is kept for.
-            if not self.owner or estimate_s <= self.until_s or self.until_s > HELD_EMPTY_S:
-                return True
+        if overdue and not self.owner:
+            return True  # nothing is to wait beside room that stays empty for long
         # Estimates are too rough for a job that has waited for long already.
         return (not self.owner and estimate_s <= self.until_s) or (
             spec.cpus <= self.cpus + EPSILON and (spec.gpus or 0.0) <= self.gpus + EPSILON
