--- a/stileloft/bookkeeping/model.py
+++ b/stileloft/bookkeeping/model.py
@@ -64,10 +64,12 @@
         record: dict[str, Any] = {
             "r": [spec.team, spec.cpus, spec.gpus or 0.0, spec.memory_gb],
             "a": self.attempt,
-            "d": records.to_ranges(self.done | {i for i, p in self.placements.items()
-                                                if p.state == ENDED and p.done}),
-            "p": {str(i): [p.attempt, p.machine, p.zone, 1 if p.spot else 0]
-                  for i, p in self.placements.items() if p.state != ENDED},
+            "d": records.to_ranges(self.done | {i for i, p in self.placements.items() if p.state == ENDED and p.done}),
+            "p": {
+                str(i): [p.attempt, p.machine, p.zone, 1 if p.spot else 0]
+                for i, p in self.placements.items()
+                if p.state != ENDED
+            },
         }
         if size is not None:
             record["n"] = size
@@ -236,8 +238,13 @@
     def _load_chunk(self, before: Chunk | None, parts: dict[int, tuple[Any, int]]) -> Chunk:
         """A chunk of its records, keeping what is known of unchanged placements."""
         value, version = parts.pop(0, ({"a": 0, "d": [], "p": {}}, 0))
-        chunk = Chunk(version=version, attempt=value["a"], done=records.from_ranges(value["d"]), stored=True,
-                      parts={part: (part_version, further) for part, (further, part_version) in parts.items()})
+        chunk = Chunk(
+            version=version,
+            attempt=value["a"],
+            done=records.from_ranges(value["d"]),
+            stored=True,
+            parts={part: (part_version, further) for part, (further, part_version) in parts.items()},
+        )
         placed = dict(value["p"])
         for further, _ in parts.values():
             placed |= further["p"]
@@ -278,8 +285,20 @@
 def orphan_spec(job: str, resources: list[Any]) -> JobSpec:
     """Enough of a cancelled job's description to count what is left of it."""
     team, cpus, gpus, memory_gb = resources
-    return JobSpec(id=job, job_class="-", team=team, kind="array", priority="idle", tasks=100_000, cpus=cpus,
-                   gpus=gpus, memory_gb=memory_gb, image="-", image_gb=0.0, estimate_s=0.0)
+    return JobSpec(
+        id=job,
+        job_class="-",
+        team=team,
+        kind="array",
+        priority="idle",
+        tasks=100_000,
+        cpus=cpus,
+        gpus=gpus,
+        memory_gb=memory_gb,
+        image="-",
+        image_gb=0.0,
+        estimate_s=0.0,
+    )
 
 
 @dataclass(slots=True)
--- a/stileloft/bookkeeping/records.py
+++ b/stileloft/bookkeeping/records.py
@@ -81,7 +81,7 @@
 
 def split_chunk_key(key: str) -> tuple[str, int, int]:
     """Job, chunk and part."""
-    job, _, name = key[len(TASKS):].rpartition("/")
+    job, _, name = key[len(TASKS) :].rpartition("/")
     chunk, _, part = name.partition("+")
     return job, int(chunk), int(part or 0)
 
--- a/stileloft/cli.py
+++ b/stileloft/cli.py
@@ -92,8 +92,9 @@
                 except orjson.JSONDecodeError:
                     print(f"stileloft: {name}: {text!r} is not a JSON value", file=sys.stderr)
                     return USAGE_ERROR
-            request = urllib.request.Request(url, orjson.dumps(current), {"Content-Type": "application/json"},
-                                             method="PUT")
+            request = urllib.request.Request(
+                url, orjson.dumps(current), {"Content-Type": "application/json"}, method="PUT"
+            )
             with urllib.request.urlopen(request, timeout=ADMIN_TIMEOUT_S) as response:
                 current = orjson.loads(response.read())
     except urllib.error.HTTPError as error:
--- a/stileloft/coordination/admission.py
+++ b/stileloft/coordination/admission.py
@@ -42,16 +42,18 @@
     """The job can never run; the text says why."""
 
 
-def why_impossible(spec: JobSpec, teams: dict[str, Team], types: dict[str, MachineType],
-                   value_bytes: int) -> str | None:
+def why_impossible(
+    spec: JobSpec, teams: dict[str, Team], types: dict[str, MachineType], value_bytes: int
+) -> str | None:
     team = teams.get(spec.team)
     if team is None:
         return f"unknown team {spec.team!r}"
     if not any(fits_type(spec, kind) for kind in types.values()):
         return "a task fits no allowed machine type"
     at_once = 1 if spec.kind == "array" else spec.tasks
-    if ((team.cpus_max and at_once * spec.cpus > team.cpus_max)
-            or (team.gpus_max and at_once * (spec.gpus or 0) > team.gpus_max)):
+    if (team.cpus_max and at_once * spec.cpus > team.cpus_max) or (
+        team.gpus_max and at_once * (spec.gpus or 0) > team.gpus_max
+    ):
         return "what has to run at once needs more than the team's limit"
     if spec.is_gang and spec.spread and spec.tasks > 1:
         zones = {zone for kind in types.values() if fits_type(spec, kind) for zone in kind.zones}
@@ -69,8 +71,17 @@
     whatever is told to a user has been committed before.
     """
 
-    def __init__(self, clock: Clock, state: StateClient, teams: dict[str, Team], catalog: Catalog,
-                 reads: Budget, writes: Budget, wall: Any, value_bytes: int) -> None:
+    def __init__(
+        self,
+        clock: Clock,
+        state: StateClient,
+        teams: dict[str, Team],
+        catalog: Catalog,
+        reads: Budget,
+        writes: Budget,
+        wall: Any,
+        value_bytes: int,
+    ) -> None:
         self._clock = clock
         self._state = state
         self._teams = teams
--- a/stileloft/coordination/dispatch.py
+++ b/stileloft/coordination/dispatch.py
@@ -55,8 +55,9 @@
             machine.view = None
             # Failures from before it was up say nothing about it.
             machine.send_failures, machine.retry_at = 0, 0.0
-            log.info("machine %s is up: %s in %s%s", machine.id, machine.type, machine.zone,
-                     ", spot" if machine.spot else "")
+            log.info(
+                "machine %s is up: %s in %s%s", machine.id, machine.type, machine.zone, ", spot" if machine.spot else ""
+            )
             term.poke()
         new_session = report.session != machine.session
         new_session = report.session != machine.session
@@ -114,12 +115,18 @@
         machine.strays = strays
         for placement in unseen.values():
             placement.seen = None
-            if (placement.state == BOUND and placement.sent_session is not None
-                    and placement.sent_session < machine.session):
+            if (
+                placement.state == BOUND
+                and placement.sent_session is not None
+                and placement.sent_session < machine.session
+            ):
                 # Sessions kill their tasks when they end, and starts sent in one fail in the next.
                 term.end(placement, "its session is over")
-            elif placement.state == BOUND and placement.sent_session is None and (
-                    machine.draining or placement.stop_grace is not None):
+            elif (
+                placement.state == BOUND
+                and placement.sent_session is None
+                and (machine.draining or placement.stop_grace is not None)
+            ):
                 # The worker knows our token, so no older leader's start can be executed any more.
                 term.end(placement, "it was not started")
 
@@ -213,9 +220,14 @@
             return []
         # A start without an answer may be executed at any later time. One that is to be stopped by
         # now is repeated too: only a task that was seen can be told to exit, and so be let go.
-        found = [p for p in machine.placements.values()
-                 if p.state == BOUND and p.seen is None and not term.is_over(p.job)
-                 and (p.stop_grace is None or p.sent_session == machine.session)]
+        found = [
+            p
+            for p in machine.placements.values()
+            if p.state == BOUND
+            and p.seen is None
+            and not term.is_over(p.job)
+            and (p.stop_grace is None or p.sent_session == machine.session)
+        ]
         # None of a gang is started before all of it is known to be placed. One that is to be stopped is repeated.
         ready = {job_id: gangs.may_start(term.jobs[job_id]) for job_id in {p.job for p in found}}
         return [p for p in found if p.stop_grace is not None or ready[p.job]]
@@ -233,7 +245,8 @@
                 placement.stop_at = now
                 commands.append(command)
             elif now >= placement.stop_at + REPEAT_STOP * self.report_s and not (
-                    placement.seen is None and placement.sent_session is None):
+                placement.seen is None and placement.sent_session is None
+            ):
                 placement.stop_at = now
                 others.append(command)
         commands += others
@@ -269,8 +282,7 @@
         """Sends what the machine has to do, one message at a time."""
         term = self.term
         now = term.clock.seconds()
-        if (machine.sending or not machine.address or now < machine.retry_at or not term.confirmed()
-                or not term.loaded):
+        if machine.sending or not machine.address or now < machine.retry_at or not term.confirmed() or not term.loaded:
             return
         starts = self._starts(machine)[:MAX_COMMANDS]
         commands = self._stops(machine)
@@ -294,8 +306,9 @@
         """A machine that is still booting answers nothing, and reports by itself when it is up."""
         return machine.reported or bool(machine.placements) or machine.listed_state == "running"
 
-    async def _send(self, machine: Machine, session: int, commands: list[dict[str, Any]],
-                    starts: list[Placement], claim: bool) -> None:
+    async def _send(
+        self, machine: Machine, session: int, commands: list[dict[str, Any]], starts: list[Placement], claim: bool
+    ) -> None:
         term = self.term
         try:
             try:
@@ -323,9 +336,10 @@
             self.observe(report)
         if not executed and session != machine.session:
             self.send(machine)
-        elif self._starts(machine) or machine.trusted and any(
-                p.stop_grace is not None and p.stop_at == 0.0 for p in machine.placements.values()):
+        elif (
+            self._starts(machine)
+            or machine.trusted
+            and any(p.stop_grace is not None and p.stop_at == 0.0 for p in machine.placements.values())
+        ):
             term.clock.callLater(RETRY * self.report_s, self.send, machine)
         term.after_report()
-
-
--- a/stileloft/coordination/election.py
+++ b/stileloft/coordination/election.py
@@ -18,8 +18,16 @@
 class Election:
     """Seeks the leadership, keeps it, and knows for how long it is confirmed."""
 
-    def __init__(self, clock: Any, state: StateClient, member: str, nonce: str, life_s: float,
-                 on_elected: Callable[[int], None], on_deposed: Callable[[str], None]) -> None:
+    def __init__(
+        self,
+        clock: Any,
+        state: StateClient,
+        member: str,
+        nonce: str,
+        life_s: float,
+        on_elected: Callable[[int], None],
+        on_deposed: Callable[[str], None],
+    ) -> None:
         self._clock = clock
         self._state = state
         self._member = member
@@ -115,7 +123,8 @@
         lease = await self._state.new_lease(self.life_s)
         try:
             token = await self._state.commit(
-                {records.LEADER: 0}, {records.LEADER: {"member": self._member, "nonce": self._nonce}}, [], lease)
+                {records.LEADER: 0}, {records.LEADER: {"member": self._member, "nonce": self._nonce}}, [], lease
+            )
         except Conflict:
             await self._end(lease)
             return
--- a/stileloft/coordination/fleet.py
+++ b/stileloft/coordination/fleet.py
@@ -142,8 +142,11 @@
         # One that has reached us meanwhile was only slow.
         still = [machine for machine in quiet if machine.heard_at == asked[machine.id]]
         # A late copy that came to a peer does not show that a machine is alive: only what we have not heard counts.
-        missed = sum(1 for machine in still if any(
-            tuple(view.machines.get(machine.id, (0, 0))) > (machine.session, machine.seq) for view in views))
+        missed = sum(
+            1
+            for machine in still
+            if any(tuple(view.machines.get(machine.id, (0, 0))) > (machine.session, machine.seq) for view in views)
+        )
         now = term.clock.seconds()
         late = all(now - max(machine.heard_at, term.started_at) > self.verdict_s for machine in still)
         if missed * 4 >= len(still) and missed:
@@ -197,8 +200,13 @@
     def _in_doubt(self, placement: Placement, machine: Machine, now: float) -> bool:
         """Whether a start of a job that is over got no answer, and nothing was seen of it for a whole lease."""
         waited = now - max(placement.bound_at, placement.stop_at)
-        return (placement.state == BOUND and placement.seen is None and placement.sent_session == machine.session
-                and self.term.is_over(placement.job) and waited > self.lease_s)
+        return (
+            placement.state == BOUND
+            and placement.seen is None
+            and placement.sent_session == machine.session
+            and self.term.is_over(placement.job)
+            and waited > self.lease_s
+        )
 
     def is_late(self, machine: Machine, now: float) -> bool:
         """Whether a machine should be up by now and is not: others are rented for what waits for it."""
@@ -326,7 +334,7 @@
         now = term.wall()
         whole = {"t": round(now, 1), "o": list(offer), "m": machines}
         if len(machines) > 1 and records.size_of(whole) > term.limits.value_bytes:
-            for half in (machines[: len(machines) // 2], machines[len(machines) // 2:]):
+            for half in (machines[: len(machines) // 2], machines[len(machines) // 2 :]):
                 await self._store_rental(offer, half)
             return
         if not term.writes.take(1.0):
@@ -394,7 +402,7 @@
         """The images that a machine has, the ones used last, as far as a value holds them."""
         images = list(machine.images)
         while records.size_of(images) > self.term.limits.value_bytes:
-            images = images[1 + len(images) // 8:]
+            images = images[1 + len(images) // 8 :]
         return images
 
     def load_rental(self, key: str, value: dict[str, Any]) -> None:
@@ -402,7 +410,7 @@
         term = self.term
         wall, now = term.wall(), term.clock.seconds()
         rented = value["t"]
-        self.rented_slots[int(key[len(records.RENTED):])] = rented + self.listed_s
+        self.rented_slots[int(key[len(records.RENTED) :])] = rented + self.listed_s
         if wall > rented + self.listed_s:
             return
         for machine_id in value["m"]:
--- a/stileloft/coordination/gangs.py
+++ b/stileloft/coordination/gangs.py
@@ -53,8 +53,11 @@
         return Stage.COMPLETED
     if not placements:
         return Stage.WAITING
-    if (len(placements) < job.spec.tasks or any(p.state == ENDED for p in placements)
-            or len({p.attempt for p in placements}) > 1):
+    if (
+        len(placements) < job.spec.tasks
+        or any(p.state == ENDED for p in placements)
+        or len({p.attempt for p in placements}) > 1
+    ):
         return Stage.BROKEN
     return Stage.BINDING if any(p.state == PLANNED for p in placements) else Stage.WHOLE
 
@@ -91,10 +94,14 @@
 
 def slots(spec: JobSpec, cpus: float, gpus: float, memory_gb: float) -> int:
     """How many of a job's tasks fit into this room."""
-    return max(0, min(
-        int((cpus + 1e-6) / spec.cpus) if spec.cpus else MANY,
-        int((memory_gb + 1e-6) / spec.memory_gb) if spec.memory_gb else MANY,
-        int((gpus + 1e-6) / spec.gpus) if spec.gpus else MANY))
+    return max(
+        0,
+        min(
+            int((cpus + 1e-6) / spec.cpus) if spec.cpus else MANY,
+            int((memory_gb + 1e-6) / spec.memory_gb) if spec.memory_gb else MANY,
+            int((gpus + 1e-6) / spec.gpus) if spec.gpus else MANY,
+        ),
+    )
 
 
 def free_slots(spec: JobSpec, node: Node) -> int:
@@ -110,8 +117,13 @@
     return found
 
 
-def find_place(job: Waiting, snapshot: Snapshot, nodes: Iterable[Node], ordered: Callable[[list[Node]], Ordered],
-               fetch_time: Callable[[JobSpec, Node], float]) -> list[tuple[int, Node]] | None:
+def find_place(
+    job: Waiting,
+    snapshot: Snapshot,
+    nodes: Iterable[Node],
+    ordered: Callable[[list[Node]], Ordered],
+    fetch_time: Callable[[JobSpec, Node], float],
+) -> list[tuple[int, Node]] | None:
     """A machine for each task of a gang, in the zone where its last image is there first; None if there is none.
 
     Works on the snapshot, which is as before when it returns.
@@ -132,8 +144,9 @@
     return best[1] if best else None
 
 
-def _fill(job: Waiting, snapshot: Snapshot, machines: Ordered, fetch_time: Callable[[JobSpec, Node], float]
-          ) -> tuple[list[tuple[int, Node]], float]:
+def _fill(
+    job: Waiting, snapshot: Snapshot, machines: Ordered, fetch_time: Callable[[JobSpec, Node], float]
+) -> tuple[list[tuple[int, Node]], float]:
     spec = job.spec
     taken: list[tuple[int, Node, Running]] = []
     images_s = 0.0
@@ -158,8 +171,11 @@
     """Keeps the room that a gang will have first, so that small tasks don't fill each hole before it can begin."""
     spec = job.spec
     best: tuple[float, str, list[tuple[float, Node]]] | None = None
-    up = [node for node in snapshot.nodes.values()
-          if node.up and node.ready and node.id not in snapshot.holds and node.id not in job.avoid]
+    up = [
+        node
+        for node in snapshot.nodes.values()
+        if node.up and node.ready and node.id not in snapshot.holds and node.id not in job.avoid
+    ]
     for zone, there in by_zone(spec, up).items():
         coming: list[tuple[float, str, Node]] = []
         for node in there:
@@ -174,7 +190,7 @@
         coming.sort(key=lambda item: item[:2])
         if len(coming) < job.count:
             continue
-        chosen = [(at, node) for at, _, node in coming[:job.count]]
+        chosen = [(at, node) for at, _, node in coming[: job.count]]
         if best is None or (chosen[-1][0], zone) < best[:2]:
             best = chosen[-1][0], zone, chosen
     if best is None:
@@ -187,8 +203,12 @@
             if task.remaining_s <= max(mine):
                 cpus, gpus, memory_gb = cpus + task.cpus, gpus + task.gpus, memory_gb + task.memory_gb
         snapshot.holds[node.id] = Hold(
-            until_s, cpus - len(mine) * spec.cpus, gpus - len(mine) * (spec.gpus or 0.0),
-            memory_gb - len(mine) * spec.memory_gb, spec.id if job.first else "")
+            until_s,
+            cpus - len(mine) * spec.cpus,
+            gpus - len(mine) * (spec.gpus or 0.0),
+            memory_gb - len(mine) * spec.memory_gb,
+            spec.id if job.first else "",
+        )
 
 
 def expect(snapshot: Snapshot) -> list[Nomination]:
@@ -200,8 +220,10 @@
     taken: dict[str, int] = {}
     for spec, count in snapshot.expected:
         zones = by_zone(spec, (node for node in snapshot.nodes.values() if node.up and node.ready))
-        rooms = {zone: [(free_slots(spec, node) - taken.get(node.id, 0), len(node.images), node.id) for node in there]
-                 for zone, there in zones.items()}
+        rooms = {
+            zone: [(free_slots(spec, node) - taken.get(node.id, 0), len(node.images), node.id) for node in there]
+            for zone, there in zones.items()
+        }
         if not rooms:
             continue
         zone = max(rooms, key=lambda zone: (min(count, sum(max(0, room) for room, _, _ in rooms[zone])), zone))
@@ -246,7 +268,12 @@
 def shortage(spec: JobSpec, count: int, nodes: Iterable[Node], zones: Iterable[str]) -> list[tuple[int, str]]:
     """How many tasks of a gang would find no room, by zone, the least first."""
     there = by_zone(spec, nodes)
-    lacks = {zone: count - sum(free_slots(spec, node) for node in there.get(zone if spec.one_zone else "", ()))
-             for zone in zones if zone_allowed(spec, {}, zone) and spec.zone in (None, zone)}
-    return [(lack, zone) for lack, _, zone in sorted(
-        (max(0, lack), -len(there.get(zone, ())), zone) for zone, lack in lacks.items())]
+    lacks = {
+        zone: count - sum(free_slots(spec, node) for node in there.get(zone if spec.one_zone else "", ()))
+        for zone in zones
+        if zone_allowed(spec, {}, zone) and spec.zone in (None, zone)
+    }
+    return [
+        (lack, zone)
+        for lack, _, zone in sorted((max(0, lack), -len(there.get(zone, ())), zone) for zone, lack in lacks.items())
+    ]
--- a/stileloft/coordination/leader.py
+++ b/stileloft/coordination/leader.py
@@ -229,8 +229,12 @@
             # Where tasks are comes first: their ends and what is to be stopped wait for it.
             for machine in sorted(self.machines.values(), key=lambda machine: not machine.placements):
                 self.dispatch.send(machine)
-        log.info("took over %d jobs and %d machines in %.2f s", len(self.jobs), len(self.machines),
-                 self.clock.seconds() - self.started_at)
+        log.info(
+            "took over %d jobs and %d machines in %.2f s",
+            len(self.jobs),
+            len(self.machines),
+            self.clock.seconds() - self.started_at,
+        )
         defer.ensureDeferred(self._watch_loop())
         defer.ensureDeferred(self.fleet.images_loop())
         defer.ensureDeferred(self._format_loop())
@@ -276,7 +280,7 @@
             for key, value, _ in rented:
                 self.fleet.load_rental(key, value)
             for key, value, _ in images:
-                self.fleet.load_images(key[len(records.IMAGES):], value)
+                self.fleet.load_images(key[len(records.IMAGES) :], value)
             self.revision = revision
             self.informed_at = asked_at
 
@@ -288,7 +292,7 @@
                 if not self.alive:
                     return
                 for key, value, version in events:
-                    self._on_change(key[len(records.ACTIVE):], value, version)
+                    self._on_change(key[len(records.ACTIVE) :], value, version)
                 self.revision, self.informed_at = revision, asked_at
                 self._forget_dropped()
                 if events:
@@ -308,8 +312,8 @@
         active, revision = await self.state.scan(records.ACTIVE)
         listed = set()
         for key, value, version in active:
-            listed.add(key[len(records.ACTIVE):])
-            self._on_change(key[len(records.ACTIVE):], value, version)
+            listed.add(key[len(records.ACTIVE) :])
+            self._on_change(key[len(records.ACTIVE) :], value, version)
         for job in list(self.jobs.values()):
             if job.id not in listed and job.version <= revision:
                 self._on_change(job.id, None, revision)
@@ -370,8 +374,9 @@
             if members >= others and len(others) + 1 >= self.settings.size and self.confirmed():
                 value = {"format": records.NEWEST_FORMAT, "members": sorted({self.node.settings.member, *others})}
                 try:
-                    await self.state.commit({records.LEADER: self.token, records.FORMAT: 0},
-                                            {records.FORMAT: value}, [])
+                    await self.state.commit(
+                        {records.LEADER: self.token, records.FORMAT: 0}, {records.FORMAT: value}, []
+                    )
                 except Conflict:
                     pass  # a former leader did it, or another leads: the node reads it
                 except (Unavailable, Unknown) as error:
@@ -774,10 +779,24 @@
         kind = min(self.types.values(), key=lambda kind: (kind.price, kind.name), default=None)
         if kind is None:
             return []
-        return [JobSpec(id=gangs.EXPECTED, job_class=name, team="", kind="gang", priority="standard", tasks=1,
-                        cpus=kind.cpus, gpus=kind.gpus, memory_gb=kind.memory_gb, image="", image_gb=0.0,
-                        estimate_s=0.0)
-                for name in self.wait_goals if name not in self.classes]
+        return [
+            JobSpec(
+                id=gangs.EXPECTED,
+                job_class=name,
+                team="",
+                kind="gang",
+                priority="standard",
+                tasks=1,
+                cpus=kind.cpus,
+                gpus=kind.gpus,
+                memory_gb=kind.memory_gb,
+                image="",
+                image_gb=0.0,
+                estimate_s=0.0,
+            )
+            for name in self.wait_goals
+            if name not in self.classes
+        ]
 
     def _crowd(self, load: ClassLoad) -> float:
         """What arrives in a boot varies by its root: more room for classes of which many jobs come in one."""
@@ -834,12 +853,24 @@
             if stray_tasks:
                 tasks = [i for i in tasks if f"{job.id}/{i}" not in stray_tasks]
             avoid = frozenset(m for (j, m), until in self.avoided.items() if j == job.id and until > now)
-            waiting.append(Waiting(job.spec, job.submitted, count, tasks, dict(job.zones),
-                                   self.estimate(job.spec), self.wait_goals.get(job.spec.job_class), avoid,
-                                   self._aged(job, aged_s), begun=job.begun,
-                                   overdue=now - max(job.served_at, job.known_since) > OVERDUE_PART * BEGIN_S))
-        return Snapshot(self.wall(), copies, waiting, self.teams, usage, dict(self.nominations), types,
-                        self._headroom(gang=True))
+            waiting.append(
+                Waiting(
+                    job.spec,
+                    job.submitted,
+                    count,
+                    tasks,
+                    dict(job.zones),
+                    self.estimate(job.spec),
+                    self.wait_goals.get(job.spec.job_class),
+                    avoid,
+                    self._aged(job, aged_s),
+                    begun=job.begun,
+                    overdue=now - max(job.served_at, job.known_since) > OVERDUE_PART * BEGIN_S,
+                )
+            )
+        return Snapshot(
+            self.wall(), copies, waiting, self.teams, usage, dict(self.nominations), types, self._headroom(gang=True)
+        )
 
     def _view(self, machine: Machine, kind: MachineType, now: float) -> Node:
         """The machine's copy for the decisions; made anew when it has changed, or its times have become old."""
@@ -859,12 +890,23 @@
             return False
         if machine.up_since is None:
             return not self.fleet.is_late(machine, now)
-        return (machine.trusted and now - machine.came_at <= self.fleet.quiet_s and machine.send_failures < 2
-                and self.dispatch.reaches(machine, now))
+        return (
+            machine.trusted
+            and now - machine.came_at <= self.fleet.quiet_s
+            and machine.send_failures < 2
+            and self.dispatch.reaches(machine, now)
+        )
 
     def _node(self, machine: Machine, kind: MachineType, now: float) -> Node:
-        copy = Node(machine.id, kind, machine.zone, machine.spot, self._ready(machine, now),
-                    machine.up_since is not None, images=frozenset(machine.images))
+        copy = Node(
+            machine.id,
+            kind,
+            machine.zone,
+            machine.spot,
+            self._ready(machine, now),
+            machine.up_since is not None,
+            images=frozenset(machine.images),
+        )
         fetching = set()
         for placement in machine.placements.values():
             job = self.jobs.get(placement.job)
@@ -875,16 +917,27 @@
                 fetching.add(spec.image)
             age = now - placement.running_since if placement.running_since is not None else 0.0
             unsaved = age % spec.checkpoint_s if spec.checkpoint_s else age
-            copy.tasks.append(Running(
-                placement.key, spec, spec.team, SHIELDED if placement.shielded else spec.rank, spec.cpus,
-                spec.gpus or 0.0, spec.memory_gb, unsaved, self.remaining(job, placement, now),
-                leaving=placement.stop_grace is not None,
-                safe=not spec.is_service and job.stopped_for_others < spec.tasks,
-                together=spec.tasks if spec.is_gang else 1,
-                fresh=spec.job_class in self.wait_goals and age < STARTED_S))
+            copy.tasks.append(
+                Running(
+                    placement.key,
+                    spec,
+                    spec.team,
+                    SHIELDED if placement.shielded else spec.rank,
+                    spec.cpus,
+                    spec.gpus or 0.0,
+                    spec.memory_gb,
+                    unsaved,
+                    self.remaining(job, placement, now),
+                    leaving=placement.stop_grace is not None,
+                    safe=not spec.is_service and job.stopped_for_others < spec.tasks,
+                    together=spec.tasks if spec.is_gang else 1,
+                    fresh=spec.job_class in self.wait_goals and age < STARTED_S,
+                )
+            )
         for task, stray in machine.strays.items():
-            copy.tasks.append(Running((task, -1), None, stray.team, SHIELDED, stray.cpus, stray.gpus, stray.memory_gb,
-                                      leaving=True))
+            copy.tasks.append(
+                Running((task, -1), None, stray.team, SHIELDED, stray.cpus, stray.gpus, stray.memory_gb, leaving=True)
+            )
         copy.idle_s = now - machine.idle_since if machine.idle_since is not None else 0.0
         copy.fetching = frozenset(fetching)
         copy.settle()
@@ -919,8 +972,7 @@
             cpus += stray.cpus
             gpus += stray.gpus
             memory_gb += stray.memory_gb
-        return (cpus <= kind.cpus + EPSILON and gpus <= kind.gpus + EPSILON
-                and memory_gb <= kind.memory_gb + EPSILON)
+        return cpus <= kind.cpus + EPSILON and gpus <= kind.gpus + EPSILON and memory_gb <= kind.memory_gb + EPSILON
 
     def _apply(self, outcome: tuple[Decision, scaling.Plan | None]) -> None:
         """Carries out what was decided, as far as it still holds."""
@@ -950,24 +1002,40 @@
         self.last_decision = {
             "placed": len(decision.placed),
             "evictions": [
-                {"for": f"{key[0]}/{key[1]}", "machine": eviction.machine,
-                 "victims": [f"{victim.key[0]}/{victim.key[1]}" for victim in eviction.victims]}
-                for key, eviction in decision.evictions],
+                {
+                    "for": f"{key[0]}/{key[1]}",
+                    "machine": eviction.machine,
+                    "victims": [f"{victim.key[0]}/{victim.key[1]}" for victim in eviction.victims],
+                }
+                for key, eviction in decision.evictions
+            ],
             "unmet": {job.spec.id: count for job, count in decision.unmet[:50]},
         }
         if plan is not None and log.isEnabledFor(logging.DEBUG):
-            log.debug("unmet %s; holding %s; nominated %s", self.last_decision["unmet"], {
-                m.id: [p.task for p in m.placements.values()] for m in self.machines.values()},
-                {f"{n.key[0]}/{n.key[1]}": n.machine for n in self.nominations.values()})
+            log.debug(
+                "unmet %s; holding %s; nominated %s",
+                self.last_decision["unmet"],
+                {m.id: [p.task for p in m.placements.values()] for m in self.machines.values()},
+                {f"{n.key[0]}/{n.key[1]}": n.machine for n in self.nominations.values()},
+            )
         if self.dirty:
             self.ledger.flush()
 
-    def _place(self, key: tuple[str, int], machine_id: str, usage: dict[str, Usage], stray_tasks: set[str],
-               shielded: bool) -> None:
+    def _place(
+        self, key: tuple[str, int], machine_id: str, usage: dict[str, Usage], stray_tasks: set[str], shielded: bool
+    ) -> None:
         job = self.jobs.get(key[0])
         machine = self.machines.get(machine_id)
-        if (job is None or machine is None or job.over or job.reload or machine.draining or machine.releasing
-                or not machine.trusted or f"{key[0]}/{key[1]}" in stray_tasks):
+        if (
+            job is None
+            or machine is None
+            or job.over
+            or job.reload
+            or machine.draining
+            or machine.releasing
+            or not machine.trusted
+            or f"{key[0]}/{key[1]}" in stray_tasks
+        ):
             return
         index = key[1]
         chunk = job.chunks.get(index // job.size)
@@ -991,16 +1059,23 @@
         chunk = job.chunks.setdefault(index // job.size, Chunk())
         chunk.attempt = gangs.next_attempt(job) if spec.is_gang else chunk.attempt + 1
         chunk.dirty = True
-        placement = Placement(job.id, index, chunk.attempt, machine_id, machine.zone, machine.spot, PLANNED,
-                              shielded=shielded)
+        placement = Placement(
+            job.id, index, chunk.attempt, machine_id, machine.zone, machine.spot, PLANNED, shielded=shielded
+        )
         job.add(placement)
         job.served_at = self.clock.seconds()
         machine.placements[key] = placement
         machine.idle_since = machine.view = None
         self.nominations.pop(key, None)
         self.touch(job)
-        log.info("task %s attempt %d goes to %s, %.1f s after acceptance, image %s", placement.task, placement.attempt,
-                 machine_id, self.wall() - job.submitted, "there" if spec.image in machine.images else "to fetch")
+        log.info(
+            "task %s attempt %d goes to %s, %.1f s after acceptance, image %s",
+            placement.task,
+            placement.attempt,
+            machine_id,
+            self.wall() - job.submitted,
+            "there" if spec.image in machine.images else "to fetch",
+        )
 
     def _check_gang(self, job_id: str) -> None:
         """Takes a gang back if not all of it could be placed."""
@@ -1035,12 +1110,23 @@
     def status(self) -> dict[str, Any]:
         with self.lock:
             return {
-                "jobs": {"unfinished": len(self.jobs), "waiting_tasks": sum(j.waiting for j in self.jobs.values()),
-                         "placed_tasks": sum(j.placed for j in self.jobs.values())},
+                "jobs": {
+                    "unfinished": len(self.jobs),
+                    "waiting_tasks": sum(j.waiting for j in self.jobs.values()),
+                    "placed_tasks": sum(j.placed for j in self.jobs.values()),
+                },
                 "machines": [
-                    {"id": m.id, "type": m.type, "zone": m.zone, "spot": m.spot, "up": m.up_since is not None,
-                     "tasks": len(m.placements), "draining": m.draining}
-                    for m in self.machines.values()],
+                    {
+                        "id": m.id,
+                        "type": m.type,
+                        "zone": m.zone,
+                        "spot": m.spot,
+                        "up": m.up_since is not None,
+                        "tasks": len(m.placements),
+                        "draining": m.draining,
+                    }
+                    for m in self.machines.values()
+                ],
                 "commits": self.ledger.commits,
                 "last_decision": self.last_decision,
             }
--- a/stileloft/coordination/ledger.py
+++ b/stileloft/coordination/ledger.py
@@ -163,8 +163,12 @@
             entry.dropped.append(number)
             return 0
         # What is left of a cancelled job is recorded until it is gone.
-        if (not job.over and not live and len(chunk.done | completed) == job.chunk_length(number)
-                and self._foldable(job, {*entry.finished, number})):
+        if (
+            not job.over
+            and not live
+            and len(chunk.done | completed) == job.chunk_length(number)
+            and self._foldable(job, {*entry.finished, number})
+        ):
             if chunk.stored:
                 entry.deletes += self._keys(job, number)
             entry.finished.append(number)
@@ -329,8 +333,12 @@
             # The limits have become lower than was announced. Unchanged it would be refused for ever.
             self.in_flight -= 1
             term.limits.refused(puts.values(), len(puts) + len(deletes))
-            log.info("commit too large: %s; from now on %d changes and %d bytes a value", error, term.limits.ops,
-                     term.limits.value_bytes)
+            log.info(
+                "commit too large: %s; from now on %d changes and %d bytes a value",
+                error,
+                term.limits.ops,
+                term.limits.value_bytes,
+            )
             for entry in batch:
                 self._again(entry)
             self._refused_until = term.clock.seconds() + REFUSED_S
@@ -389,8 +397,10 @@
         for number in entry.written:
             chunk = job.chunks[number]
             chunk.version, chunk.stored = revision, True
-            chunk.parts = {part: (chunk.parts[part][0] if chunk.parts.get(part, (0, None))[1] == value else revision,
-                                  value) for part, value in enumerate(entry.parts.get(number, ()), 1)}
+            chunk.parts = {
+                part: (chunk.parts[part][0] if chunk.parts.get(part, (0, None))[1] == value else revision, value)
+                for part, value in enumerate(entry.parts.get(number, ()), 1)
+            }
         for number in entry.finished:
             del job.chunks[number]
             job.done_chunks.add(number)
@@ -431,8 +441,11 @@
                     if not term.writes.take(1.0):
                         await term.sleep(REFUSED_S)
                         continue
-                    barred = await term.state.commit({records.LEADER: term.token, records.active_key(job.id): found[1]},
-                                                     {records.active_key(job.id): found[0]}, [])
+                    barred = await term.state.commit(
+                        {records.LEADER: term.token, records.active_key(job.id): found[1]},
+                        {records.active_key(job.id): found[0]},
+                        [],
+                    )
                     found = found[0], barred, None
                 phase = None
                 if found is None:
@@ -477,5 +490,3 @@
         log.debug("read %s again: %s", job.id, phase or "active")
         self.flush()
         term.poke()
-
-
--- a/stileloft/coordination/node.py
+++ b/stileloft/coordination/node.py
@@ -74,8 +74,13 @@
 class Node:
     """Everything of one process. `connect` makes its clients; tests put stand-ins there."""
 
-    def __init__(self, reactor: Any, settings: Settings, wall: Callable[[], float] = time.time,
-                 connect: Callable[..., Any] = Client) -> None:
+    def __init__(
+        self,
+        reactor: Any,
+        settings: Settings,
+        wall: Callable[[], float] = time.time,
+        connect: Callable[..., Any] = Client,
+    ) -> None:
         self.reactor = reactor
         self.settings = settings
         self.wall = wall
@@ -83,18 +88,29 @@
         self.teams = {team.name: team for team in deployment.teams}
         self.types: dict[str, MachineType] = {}
         self.sockets = Sockets(reactor, lambda: len(reactor.getReaders()), deployment.quota.max_sockets)
-        wire = connect(reactor, messages.encode, messages.decode, b"application/cbor",
-                      per_host=8, connect_s=2.0, idle_s=60.0)
-        commands = connect(reactor, messages.encode, messages.decode, b"application/cbor",
-                          per_host=1, connect_s=1.0, idle_s=60.0, keep=self.keep_commands)
+        wire = connect(
+            reactor, messages.encode, messages.decode, b"application/cbor", per_host=8, connect_s=2.0, idle_s=60.0
+        )
+        commands = connect(
+            reactor,
+            messages.encode,
+            messages.decode,
+            b"application/cbor",
+            per_host=1,
+            connect_s=1.0,
+            idle_s=60.0,
+            keep=self.keep_commands,
+        )
         self.state = StateClient(reactor, wire, settings.external.state, STATE_TIMEOUT_S)
-        peers = connect(reactor, orjson.dumps, orjson.loads, b"application/json", per_host=1, connect_s=PEER_TIMEOUT_S,
-                        idle_s=60.0)
+        peers = connect(
+            reactor, orjson.dumps, orjson.loads, b"application/json", per_host=1, connect_s=PEER_TIMEOUT_S, idle_s=60.0
+        )
         self.peers = PeerClient(peers, [peer.address for peer in settings.peers], PEER_TIMEOUT_S)
         self.refused = False
         """The state service serves other nodes, but not this one."""
-        self.cloud = CloudClient(wire, settings.external.cloud, CLOUD_TIMEOUT_S,
-                                 Budget(reactor, deployment.cloud.rps * CLOUD_PART))
+        self.cloud = CloudClient(
+            wire, settings.external.cloud, CLOUD_TIMEOUT_S, Budget(reactor, deployment.cloud.rps * CLOUD_PART)
+        )
         self.workers = WorkerClient(commands, WORKER_TIMEOUT_S)
         nodes = max(1, deployment.size)
         # One node may be down at any time, and the others then get its users.
@@ -113,8 +129,7 @@
         self.nonce = secrets.token_hex(8)
         life_s = deployment.workers.lease_s * LEADER_LEASE
         self.grace_s = blind_grace(deployment.workers, life_s)
-        self.election = Election(reactor, self.state, settings.member, self.nonce, life_s,
-                                 self._elected, self._deposed)
+        self.election = Election(reactor, self.state, settings.member, self.nonce, life_s, self._elected, self._deposed)
         self.term: Term | None = None
         self.operator_settings = OperatorSettings()
         self._referred: dict[str, tuple[float, tuple[int, int]]] = {}
@@ -134,9 +149,16 @@
 
     def serve(self) -> None:
         public = PublicResources(self.admission, self.report, self.healthy, NotDecidable, Impossible)
-        self._listen(self.settings.listen, Router(
-            public.match, messages.encode, messages.decode, "application/cbor",
-            keep=lambda path: path == REPORT_PATH or self.sockets.keep_users()))
+        self._listen(
+            self.settings.listen,
+            Router(
+                public.match,
+                messages.encode,
+                messages.decode,
+                "application/cbor",
+                keep=lambda path: path == REPORT_PATH or self.sockets.keep_users(),
+            ),
+        )
         admin = AdminResources(self)
         self._listen(self.settings.peer_bind, Router(admin.match, orjson.dumps, _orjson_loads, "application/json"))
         log.info("%s serving on %s, process %d", self.settings.member, self.settings.listen, os.getpid())
@@ -312,9 +334,12 @@
         """What this node sees, for a peer that doubts its own view."""
         now = self.reactor.seconds()
         recent = now - VIEW_REPORTS * self.settings.deployment.workers.report_s
-        return PeerView(min(now - self.state.served_at, 1e9),
-                        {machine: newest for machine, (at, newest) in self._referred.items() if at > recent},
-                        self.settings.member, records.NEWEST_FORMAT)
+        return PeerView(
+            min(now - self.state.served_at, 1e9),
+            {machine: newest for machine, (at, newest) in self._referred.items() if at > recent},
+            self.settings.member,
+            records.NEWEST_FORMAT,
+        )
 
     async def read_settings(self) -> tuple[OperatorSettings, int]:
         """The operators' settings in the store, and their version (0: never set)."""
@@ -333,8 +358,9 @@
 
     async def change_settings(self, settings: OperatorSettings, version: int) -> int:
         try:
-            changed = await self.state.commit({records.SETTINGS: version},
-                                              {records.SETTINGS: msgspec.to_builtins(settings)}, [])
+            changed = await self.state.commit(
+                {records.SETTINGS: version}, {records.SETTINGS: msgspec.to_builtins(settings)}, []
+            )
         except Conflict:
             raise OutOfDate from None
         except (Unavailable, Unknown) as error:
--- a/stileloft/coordination/placement.py
+++ b/stileloft/coordination/placement.py
@@ -79,7 +79,7 @@
     for job in sorted(aged, key=lambda job: (job.begun, job.submitted, job.spec.id)):
         job.first = room > 0 or not job.begun
         if job.first and not job.spec.is_gang:
-            job.tasks = job.tasks[:max(1, int(room / job.spec.cpus)) if job.begun and job.spec.cpus else 1]
+            job.tasks = job.tasks[: max(1, int(room / job.spec.cpus)) if job.begun and job.spec.cpus else 1]
         room -= (job.count if job.begun else 1) * job.spec.cpus
 
 
@@ -93,8 +93,9 @@
     return whole_s * (1 + len(node.fetching))  # fetches share the rate
 
 
-def cost(spec: JobSpec, node: Node, smallest_cpus: float, largest_cpus: float, scarce: bool,
-         goal_s: float | None) -> float:
+def cost(
+    spec: JobSpec, node: Node, smallest_cpus: float, largest_cpus: float, scarce: bool, goal_s: float | None
+) -> float:
     """How bad a machine is for a task that fits there; lower is better."""
     fetch_s = fetch_time(spec, node)
     # All tasks of a gang wait for the last image.
@@ -114,8 +115,17 @@
 
 def as_running(spec: JobSpec, key: TaskKey, shielded: bool = False, remaining_s: float = 0.0) -> Running:
     rank = SHIELDED if shielded else spec.rank
-    return Running(key, spec, spec.team, rank, spec.cpus, spec.gpus or 0.0, spec.memory_gb, remaining_s=remaining_s,
-                   together=spec.tasks if spec.is_gang else 1)
+    return Running(
+        key,
+        spec,
+        spec.team,
+        rank,
+        spec.cpus,
+        spec.gpus or 0.0,
+        spec.memory_gb,
+        remaining_s=remaining_s,
+        together=spec.tasks if spec.is_gang else 1,
+    )
 
 
 def hold_room(job: Waiting, snapshot: Snapshot) -> None:
@@ -125,8 +135,15 @@
         return
     best: tuple[float, str] | None = None
     for node in snapshot.nodes.values():
-        if (spec.cpus > node.type.cpus or not node.up or not node.ready or node.id in holds or node.id in job.avoid
-                or not allowed(spec, node) or not zone_allowed(spec, job.zones, node.zone)):
+        if (
+            spec.cpus > node.type.cpus
+            or not node.up
+            or not node.ready
+            or node.id in holds
+            or node.id in job.avoid
+            or not allowed(spec, node)
+            or not zone_allowed(spec, job.zones, node.zone)
+        ):
             continue
         cpus, gpus, memory_gb = node.cpus, node.gpus, node.memory_gb
         at = 0.0
@@ -139,8 +156,13 @@
             continue
         if best is None or (at, node.id) < best:
             best = at, node.id
-            hold = Hold(at, cpus - spec.cpus, gpus - (spec.gpus or 0.0), memory_gb - spec.memory_gb,
-                        spec.id if job.first else "")
+            hold = Hold(
+                at,
+                cpus - spec.cpus,
+                gpus - (spec.gpus or 0.0),
+                memory_gb - spec.memory_gb,
+                spec.id if job.first else "",
+            )
     if best is not None:
         holds[best[1]] = hold
 
@@ -166,8 +188,11 @@
     def narrow(self) -> None:
         """Leaves out the machines that have become full."""
         nodes, (cpus, memory_gb) = self.snapshot.nodes, self.least
-        self.open = [name for name in self.open
-                     if nodes[name].cpus + EPSILON >= cpus and nodes[name].memory_gb + EPSILON >= memory_gb]
+        self.open = [
+            name
+            for name in self.open
+            if nodes[name].cpus + EPSILON >= cpus and nodes[name].memory_gb + EPSILON >= memory_gb
+        ]
 
 
 class Candidates:
@@ -232,8 +257,13 @@
 def serve_gang(job: Waiting, about: Round, decision: Decision) -> None:
     """Places all tasks of a gang, or leaves everything as it was and holds room. Waiting gangs stop nobody."""
     spec, snapshot = job.spec, about.snapshot
-    found = gangs.find_place(job, snapshot, [snapshot.nodes[name] for name in about.open],
-                             lambda among: Candidates(job, about, among), fetch_time)
+    found = gangs.find_place(
+        job,
+        snapshot,
+        [snapshot.nodes[name] for name in about.open],
+        lambda among: Candidates(job, about, among),
+        fetch_time,
+    )
     if found is not None:
         for index, node in found:
             place_task(job, index, node, about, decision)
@@ -310,8 +340,12 @@
             # Its own nomination must not stand in its way.
             about.reserved[own.machine].remove(own)
             node = snapshot.nodes.get(own.machine)
-            if (node is not None and node.ready and zone_allowed(spec, job.zones, node.zone)
-                    and preemption.room_beside(spec, node, about.reserved[own.machine])):
+            if (
+                node is not None
+                and node.ready
+                and zone_allowed(spec, job.zones, node.zone)
+                and preemption.room_beside(spec, node, about.reserved[own.machine])
+            ):
                 target = node
             elif candidates is not None and node is not None:
                 candidates.changed(own.machine)
@@ -331,8 +365,9 @@
         if trials is None:
             hold_room(job, snapshot)
             avoid = job.avoid | {name for name, hold in snapshot.holds.items() if hold.owner not in ("", spec.id)}
-            trials = preemption.Trials(spec, job.zones, avoid, snapshot.nodes, about.reserved, snapshot.teams,
-                                       snapshot.usage, about.spares)
+            trials = preemption.Trials(
+                spec, job.zones, avoid, snapshot.nodes, about.reserved, snapshot.teams, snapshot.usage, about.spares
+            )
         if len(decision.evictions) >= max_evictions:
             break
         eviction = trials.best()
@@ -358,11 +393,19 @@
     reserved: dict[str, list[Nomination]] = {}
     for nomination in [*snapshot.nominations.values(), *gangs.expect(snapshot)]:
         reserved.setdefault(nomination.machine, []).append(nomination)
-    about = Round(snapshot, reserved, smallest, max((kind.cpus for kind in kinds), default=0.0),
-                  any(job.spec.cpus > smallest for job in snapshot.waiting),
-                  [node.id for node in nodes.values() if node.up and node.ready],
-                  (min((job.spec.cpus for job in snapshot.waiting), default=0.0),
-                   min((job.spec.memory_gb for job in snapshot.waiting), default=0.0)), preemption.Spares(nodes))
+    about = Round(
+        snapshot,
+        reserved,
+        smallest,
+        max((kind.cpus for kind in kinds), default=0.0),
+        any(job.spec.cpus > smallest for job in snapshot.waiting),
+        [node.id for node in nodes.values() if node.up and node.ready],
+        (
+            min((job.spec.cpus for job in snapshot.waiting), default=0.0),
+            min((job.spec.memory_gb for job in snapshot.waiting), default=0.0),
+        ),
+        preemption.Spares(nodes),
+    )
     for job in sorted(snapshot.waiting, key=lambda job: order_key(job, snapshot, snapshot.usage)):
         about.narrow()
         if not job.spec.is_gang:
--- a/stileloft/coordination/preemption.py
+++ b/stileloft/coordination/preemption.py
@@ -54,10 +54,15 @@
         lower = task.rank < spec.rank
         # A team is given its guarantee at the cost of others' borrowed work, but not of more
         # pressing work: that would come back at once and stop this task in turn.
-        borrowed = (owed and task.rank <= spec.rank and task.team != spec.team
-                    and beyond_guarantee(teams.get(task.team), usage.get(task.team, Usage())))
+        borrowed = (
+            owed
+            and task.rank <= spec.rank
+            and task.team != spec.team
+            and beyond_guarantee(teams.get(task.team), usage.get(task.team, Usage()))
+        )
         if lower or borrowed:
             found.append(task)
+
     def order(victim: Victim) -> tuple[Any, ...]:
         task = victim[0]
         return task.rank, not task.safe, task.fresh, task.unsaved_s * task.cpus * task.together, task.key
@@ -81,8 +86,9 @@
     return node.has_room(*beside(spec, nominated))
 
 
-def trial(spec: JobSpec, node: Node, nominated: Iterable[Nomination], teams: dict[str, Team],
-          usage: dict[str, Usage]) -> list[Running] | None:
+def trial(
+    spec: JobSpec, node: Node, nominated: Iterable[Nomination], teams: dict[str, Team], usage: dict[str, Usage]
+) -> list[Running] | None:
     """The victims on this machine, or None if no removal helps.
 
     An empty list means that the tasks which are leaving already make enough room.
@@ -102,7 +108,7 @@
             cpus += sign * task.cpus
             gpus += sign * task.gpus
             memory_gb += sign * task.memory_gb
-        return (needed[0] <= cpus + EPSILON and needed[1] <= gpus + EPSILON and needed[2] <= memory_gb + EPSILON)
+        return needed[0] <= cpus + EPSILON and needed[1] <= gpus + EPSILON and needed[2] <= memory_gb + EPSILON
 
     fits = room_beside(spec, node, nominated)
     for task in node.tasks:
@@ -163,16 +169,24 @@
         if found is None:
             most = sorted((node.spare(below)[0], node.id) for node in self._nodes.values() if node.up and node.ready)
             found = self._by_rank[below] = [room for room, _ in most], [name for _, name in most]
-        names = found[1][bisect.bisect_left(found[0], cpus - EPSILON):]
+        names = found[1][bisect.bisect_left(found[0], cpus - EPSILON) :]
         return [self._nodes[name] for name in dict.fromkeys([*names, *self._stopped])]
 
 
 class Trials:
     """The trials for a job's tasks, which are alike: a machine is tried again only when it has changed."""
 
-    def __init__(self, spec: JobSpec, zones: dict[str, int], avoid: frozenset[str], nodes: Mapping[str, Node],
-                 reserved: Mapping[str, list[Nomination]], teams: dict[str, Team], usage: dict[str, Usage],
-                 spares: Spares) -> None:
+    def __init__(
+        self,
+        spec: JobSpec,
+        zones: dict[str, int],
+        avoid: frozenset[str],
+        nodes: Mapping[str, Node],
+        reserved: Mapping[str, list[Nomination]],
+        teams: dict[str, Team],
+        usage: dict[str, Usage],
+        spares: Spares,
+    ) -> None:
         self.spec = spec
         self.zones = zones
         self.avoid = avoid
@@ -187,8 +201,10 @@
     def _usage_facts(self) -> tuple[bool, list[bool]]:
         """What the candidates depend on beside the machine: who is owed, and who uses more than it is owed."""
         spec = self.spec
-        return (within_guarantee(spec, self.teams.get(spec.team), self.usage.get(spec.team, Usage())),
-                [beyond_guarantee(team, self.usage.get(name, Usage())) for name, team in self.teams.items()])
+        return (
+            within_guarantee(spec, self.teams.get(spec.team), self.usage.get(spec.team, Usage())),
+            [beyond_guarantee(team, self.usage.get(name, Usage())) for name, team in self.teams.items()],
+        )
 
     def _try(self, node: Node) -> None:
         victims = trial(self.spec, node, self.reserved.get(node.id, ()), self.teams, self.usage)
@@ -226,8 +242,15 @@
         self._try(self.nodes[machine])
 
 
-def preempt(spec: JobSpec, zones: dict[str, int], nodes: Iterable[Node], nominations: Iterable[Nomination],
-            teams: dict[str, Team], usage: dict[str, Usage], avoid: frozenset[str] = frozenset()) -> Eviction | None:
+def preempt(
+    spec: JobSpec,
+    zones: dict[str, int],
+    nodes: Iterable[Node],
+    nominations: Iterable[Nomination],
+    teams: dict[str, Team],
+    usage: dict[str, Usage],
+    avoid: frozenset[str] = frozenset(),
+) -> Eviction | None:
     """The best machine and its victims for one task, or None if no trial succeeds."""
     reserved: dict[str, list[Nomination]] = {}
     for nomination in nominations:
--- a/stileloft/coordination/scaling.py
+++ b/stileloft/coordination/scaling.py
@@ -60,8 +60,14 @@
     return found
 
 
-def choose(spec: JobSpec, snapshot: Snapshot, refused: set[Offer], in_zone: dict[tuple[str, str], int],
-           zones: dict[str, int], spot_only: bool = False) -> Offer | None:
+def choose(
+    spec: JobSpec,
+    snapshot: Snapshot,
+    refused: set[Offer],
+    in_zone: dict[tuple[str, str], int],
+    zones: dict[str, int],
+    spot_only: bool = False,
+) -> Offer | None:
     """The cheapest offer; among near equals the smallest type, and the zone we use least."""
     smallest = min((kind.cpus for kind in snapshot.types.values()), default=0.0)
     best: tuple[tuple[float, int, str], Offer] | None = None
@@ -88,8 +94,14 @@
     return total
 
 
-def plan(snapshot: Snapshot, unmet: list[tuple[Waiting, int]], refused: set[Offer],
-         headroom: list[tuple[JobSpec, int]], busy: bool, settings: OperatorSettings) -> Plan:
+def plan(
+    snapshot: Snapshot,
+    unmet: list[tuple[Waiting, int]],
+    refused: set[Offer],
+    headroom: list[tuple[JobSpec, int]],
+    busy: bool,
+    settings: OperatorSettings,
+) -> Plan:
     """Rentals for what will not be served in time, and idle machines to return.
 
     `headroom` names tasks that should find room at once if they came now (none, for a class that
@@ -117,8 +129,13 @@
         """A spot machine for one at the full price, which then runs empty and is returned."""
         alike = [node for node in snapshot.nodes.values() if node.type.name == kind.name]
         # Those with tasks that may use no spot machine stay.
-        full_price = sum(1 for node in alike if not node.spot and node.tasks and not any(
-            task.spec is not None and not task.spec.spot for task in node.tasks))
+        full_price = sum(
+            1
+            for node in alike
+            if not node.spot
+            and node.tasks
+            and not any(task.spec is not None and not task.spec.spot for task in node.tasks)
+        )
         on_the_way = sum(1 for node in coming if node.type.name == kind.name)
         # What runs now stays where it is: a spot machine is of use to tasks that come later.
         roomy = any(node.spot and node.ready and node.cpus >= kind.cpus / 2 for node in alike)
@@ -126,8 +143,9 @@
             return
         zones = [zone for zone in kind.zones if (kind.name, zone, True) not in refused]
         if full_price > on_the_way and zones and made < max_new and kind.spot_price < kind.price:
-            counts = {zone: sum(1 for node in snapshot.nodes.values() if node.zone == zone and node.spot)
-                      for zone in zones}
+            counts = {
+                zone: sum(1 for node in snapshot.nodes.values() if node.zone == zone and node.spot) for zone in zones
+            }
             add((kind.name, min(zones, key=lambda zone: (counts[zone], zone)), True))
 
     def add(offer: Offer) -> Node:
@@ -144,8 +162,12 @@
     def take(spec: JobSpec, count: int, zones: dict[str, int], nodes: list[Node], index: int) -> int:
         """Puts up to `count` tasks into the nodes' room; returns how many are left."""
         for node in nodes:
-            while count and allowed(spec, node) and zone_allowed(spec, zones, node.zone) and node.has_room(
-                    spec.cpus, spec.gpus or 0.0, spec.memory_gb):
+            while (
+                count
+                and allowed(spec, node)
+                and zone_allowed(spec, zones, node.zone)
+                and node.has_room(spec.cpus, spec.gpus or 0.0, spec.memory_gb)
+            ):
                 node.take(as_running(spec, (spec.id, -index - count), remaining_s=math.inf))
                 zones[node.zone] = zones.get(node.zone, 0) + 1
                 count -= 1
@@ -197,8 +219,13 @@
         rooms += [node for node in coming if node.id.startswith(NEW)]
         if large_tasks and spec.cpus <= smallest:
             # Others can only run on large machines: this class's usual tasks get small ones instead.
-            count += sum(1 for node in snapshot.nodes.values() if node.type.cpus > smallest for task in node.tasks
-                         if task.spec is not None and task.spec.job_class == spec.job_class)
+            count += sum(
+                1
+                for node in snapshot.nodes.values()
+                if node.type.cpus > smallest
+                for task in node.tasks
+                if task.spec is not None and task.spec.job_class == spec.job_class
+            )
             rooms = [node for node in rooms if node.type.cpus <= smallest]
         left = take(spec, count, {}, rooms, 1)
         while left:
@@ -220,8 +247,14 @@
     spec = job.spec
     if spec.deadline_s is None:
         return True
-    ready_s = min((kind.boot_s + spec.image_gb / max(kind.fetch_gb_per_s, 1e-3)
-                   for kind in snapshot.types.values() if fits_type(spec, kind)), default=0.0)
+    ready_s = min(
+        (
+            kind.boot_s + spec.image_gb / max(kind.fetch_gb_per_s, 1e-3)
+            for kind in snapshot.types.values()
+            if fits_type(spec, kind)
+        ),
+        default=0.0,
+    )
     spare_s = job.submitted + spec.deadline_s - job.estimate_s - ready_s - snapshot.now
     return -LATE_BOOTS * ready_s < spare_s < EARLY_BOOTS * ready_s
 
--- a/stileloft/coordination/snapshot.py
+++ b/stileloft/coordination/snapshot.py
@@ -75,8 +75,21 @@
         self._by_end = None
 
     def copy(self) -> "Node":
-        return Node(self.id, self.type, self.zone, self.spot, self.ready, self.up, list(self.tasks), self.images,
-                    self.fetching, self.cpus, self.gpus, self.memory_gb, self.idle_s)
+        return Node(
+            self.id,
+            self.type,
+            self.zone,
+            self.spot,
+            self.ready,
+            self.up,
+            list(self.tasks),
+            self.images,
+            self.fetching,
+            self.cpus,
+            self.gpus,
+            self.memory_gb,
+            self.idle_s,
+        )
 
     def take(self, task: Running) -> None:
         self.tasks.append(task)
@@ -99,16 +112,18 @@
         self._forget()
 
     def has_room(self, cpus: float, gpus: float, memory_gb: float) -> bool:
-        return (cpus <= self.cpus + EPSILON and gpus <= self.gpus + EPSILON
-                and memory_gb <= self.memory_gb + EPSILON)
+        return cpus <= self.cpus + EPSILON and gpus <= self.gpus + EPSILON and memory_gb <= self.memory_gb + EPSILON
 
     def spare(self, rank: int) -> Room:
         """What is free once all that leaves, and all tasks of a lower rank, are gone: no trial makes more."""
         found = self._spare.get(rank)
         if found is None:
             going = [task for task in self.tasks if task.leaving or task.rank < rank]
-            found = (self.cpus + sum(task.cpus for task in going), self.gpus + sum(task.gpus for task in going),
-                     self.memory_gb + sum(task.memory_gb for task in going))
+            found = (
+                self.cpus + sum(task.cpus for task in going),
+                self.gpus + sum(task.gpus for task in going),
+                self.memory_gb + sum(task.memory_gb for task in going),
+            )
             self._spare[rank] = found
         return found
 
@@ -138,8 +153,10 @@
             return True  # nothing is to wait beside room that stays empty for long
         # Estimates are too rough for a job that has waited for long already.
         return (not self.owner and estimate_s <= self.until_s) or (
-            spec.cpus <= self.cpus + EPSILON and (spec.gpus or 0.0) <= self.gpus + EPSILON
-            and spec.memory_gb <= self.memory_gb + EPSILON)
+            spec.cpus <= self.cpus + EPSILON
+            and (spec.gpus or 0.0) <= self.gpus + EPSILON
+            and spec.memory_gb <= self.memory_gb + EPSILON
+        )
 
 
 @dataclass(slots=True)
@@ -230,8 +247,9 @@
     return not (spec.spread and zones.get(zone, 0) + 1 > (spec.tasks + 1) // 2)
 
 
-def within_limit(spec: JobSpec, team: Team | None, usage: Usage, cpus_back: float = 0.0,
-                 gpus_back: float = 0.0) -> bool:
+def within_limit(
+    spec: JobSpec, team: Team | None, usage: Usage, cpus_back: float = 0.0, gpus_back: float = 0.0
+) -> bool:
     """Whether one more task keeps the team within its limit; `*_back` is given up for it."""
     if team is None:
         return False
@@ -250,8 +268,7 @@
     """Whether the team stays within what it is guaranteed with one more task."""
     if team is None or not (team.cpus or team.gpus):
         return False
-    return (usage.cpus + spec.cpus <= team.cpus + EPSILON
-            and usage.gpus + (spec.gpus or 0.0) <= team.gpus + EPSILON)
+    return usage.cpus + spec.cpus <= team.cpus + EPSILON and usage.gpus + (spec.gpus or 0.0) <= team.gpus + EPSILON
 
 
 def beyond_guarantee(team: Team | None, usage: Usage) -> bool:
--- a/stileloft/protocol/cloud.py
+++ b/stileloft/protocol/cloud.py
@@ -54,8 +54,7 @@
             after = page[-1].id
 
     async def rent(self, request: str, type_name: str, zone: str, spot: bool, count: int) -> list[str]:
-        body = {"hire": request, "build": type_name, "yard": zone, "loaner": spot,
-                "count": min(count, RENT_LIMIT)}
+        body = {"hire": request, "build": type_name, "yard": zone, "loaner": spot, "count": min(count, RENT_LIMIT)}
         reply = await self._ask("POST", "/hosts", body)
         if reply.status == 200:
             return list(reply.body["hosts"])
--- a/stileloft/protocol/messages.py
+++ b/stileloft/protocol/messages.py
@@ -27,9 +27,21 @@
 FETCHING, WAITING, RUNNING, SAVING, EXITED = "fetching", "waiting", "running", "saving", "exited"
 STATES = {"gathering": WAITING, "flushing": SAVING}
 STOPPED, PEER_LOST, NOT_COMPLETE, NO_ROOM, BUSY, UNKNOWN = (
-    "stopped", "peer lost", "gang not complete", "no room", "busy", "unknown")
-REASONS = {"halted": STOPPED, "mates_gone": PEER_LOST, "incomplete": NOT_COMPLETE, "full": NO_ROOM,
-           "in_use": BUSY, "no_such": UNKNOWN}
+    "stopped",
+    "peer lost",
+    "gang not complete",
+    "no room",
+    "busy",
+    "unknown",
+)
+REASONS = {
+    "halted": STOPPED,
+    "mates_gone": PEER_LOST,
+    "incomplete": NOT_COMPLETE,
+    "full": NO_ROOM,
+    "in_use": BUSY,
+    "no_such": UNKNOWN,
+}
 
 
 def encode(value: Any) -> bytes:
@@ -94,8 +106,16 @@
         spec = msgspec.convert(body, JobSpec)
     except msgspec.ValidationError as error:
         raise Malformed(str(error)) from None
-    amounts = (spec.cpus, spec.gpus, spec.memory_gb, spec.image_gb, spec.estimate_s,
-               spec.checkpoint_s, spec.save_s, spec.deadline_s)
+    amounts = (
+        spec.cpus,
+        spec.gpus,
+        spec.memory_gb,
+        spec.image_gb,
+        spec.estimate_s,
+        spec.checkpoint_s,
+        spec.save_s,
+        spec.deadline_s,
+    )
     # msgspec's bounds let infinities and not-a-number through.
     if not all(amount is None or math.isfinite(amount) for amount in amounts):
         raise Malformed("an amount is not finite")
--- a/stileloft/protocol/state.py
+++ b/stileloft/protocol/state.py
@@ -136,8 +136,9 @@
                 return items, revision
             after = items[-1][0]
 
-    async def commit(self, guards: dict[str, int], puts: dict[str, Any], deletes: list[str],
-                     lease: int | None = None) -> int:
+    async def commit(
+        self, guards: dict[str, int], puts: dict[str, Any], deletes: list[str], lease: int | None = None
+    ) -> int:
         """One transaction; `lease` is attached to its puts. Returns the revision."""
         writes: list[dict[str, Any]] = []
         for key, value in puts.items():
@@ -176,8 +177,11 @@
 
     async def watch(self, prefix: str, revision: int, wait_s: float) -> tuple[int, list[tuple[str, Any, int]]]:
         """Changes after a revision: key, value (None: deleted), version."""
-        reply = await self._ask("GET", f"/watch?under={prefix}&since={revision}&blockMs={int(wait_s * 1000)}",
-                                timeout_s=wait_s + self._timeout_s)
+        reply = await self._ask(
+            "GET",
+            f"/watch?under={prefix}&since={revision}&blockMs={int(wait_s * 1000)}",
+            timeout_s=wait_s + self._timeout_s,
+        )
         if reply.status == 410:
             raise Compacted
         if reply.status != 200:
--- a/stileloft/protocol/users.py
+++ b/stileloft/protocol/users.py
@@ -27,8 +27,14 @@
 class PublicResources:
     """Routes of the public address."""
 
-    def __init__(self, service: Service, report: Callable[[Report], Answer], healthy: Callable[[], bool],
-                 not_decidable: type[Exception], impossible: type[Exception]) -> None:
+    def __init__(
+        self,
+        service: Service,
+        report: Callable[[Report], Answer],
+        healthy: Callable[[], bool],
+        not_decidable: type[Exception],
+        impossible: type[Exception],
+    ) -> None:
         self._service = service
         self._report = report
         self._healthy = healthy
--- a/stileloft/protocol/workers.py
+++ b/stileloft/protocol/workers.py
@@ -19,8 +19,9 @@
         self._client = client
         self._timeout_s = timeout_s
 
-    async def command(self, address: str, token: int, session: int,
-                      commands: list[dict[str, Any]]) -> tuple[bool, Report]:
+    async def command(
+        self, address: str, token: int, session: int, commands: list[dict[str, Any]]
+    ) -> tuple[bool, Report]:
         """Whether the commands were executed, and the worker's report."""
         body = orders(token, commands)
         body["stint"] = session
--- a/stileloft/settings.py
+++ b/stileloft/settings.py
@@ -73,9 +73,12 @@
     def least(self) -> "State":
         """The smaller of the present limits and those to come."""
         after = self.next
-        return State(min(self.rps, after.rps or self.rps), min(self.write_rps, after.write_rps or self.write_rps),
-                     min(self.value_kb, after.value_kb or self.value_kb),
-                     min(self.txn_ops, after.txn_ops or self.txn_ops))
+        return State(
+            min(self.rps, after.rps or self.rps),
+            min(self.write_rps, after.write_rps or self.write_rps),
+            min(self.value_kb, after.value_kb or self.value_kb),
+            min(self.txn_ops, after.txn_ops or self.txn_ops),
+        )
 
     @property
     def value_bytes(self) -> int:
--- a/stileloft/transport/server.py
+++ b/stileloft/transport/server.py
@@ -152,4 +152,3 @@
     site: Any = server.Site(router, requestFactory=LimitedRequest, timeout=idle_s, parsePOSTFormSubmission=False)
     site.log = lambda request: None  # every line costs; failures are logged where they happen
     return site
-
--- a/tests/plain.py
+++ b/tests/plain.py
@@ -27,9 +27,21 @@
     """The design's words, with lists and sums only: remove in order, then return in the opposite order."""
     teams, usage = snapshot.teams, snapshot.usage
     owed = within_guarantee(job, teams.get(job.team), usage.get(job.team, Usage()))
-    single = [t for t in node.tasks if not t.leaving and t.spec is not None and (
-        t.rank < job.rank or (owed and t.rank <= job.rank and t.team != job.team
-                              and beyond_guarantee(teams.get(t.team), usage.get(t.team, Usage()))))]
+    single = [
+        t
+        for t in node.tasks
+        if not t.leaving
+        and t.spec is not None
+        and (
+            t.rank < job.rank
+            or (
+                owed
+                and t.rank <= job.rank
+                and t.team != job.team
+                and beyond_guarantee(teams.get(t.team), usage.get(t.team, Usage()))
+            )
+        )
+    ]
     # A gang is one victim, with what it loses on all its machines.
     may = [[t] for t in single if t.together == 1]
     may += [[t for t in single if t.key[0] == name] for name in {t.key[0] for t in single if t.together > 1}]
@@ -38,8 +50,10 @@
     def fits(gone: list[list[Running]], leave: bool = True) -> bool:
         stay = [t for t in node.tasks if not any(t in victim for victim in gone) and not (leave and t.leaving)]
         wanted = [n.spec for n in nominated if n.rank >= job.rank] + [job]
-        return (sum(t.cpus for t in stay) + sum(w.cpus for w in wanted) <= node.type.cpus + 1e-6
-                and sum(t.memory_gb for t in stay) + sum(w.memory_gb for w in wanted) <= node.type.memory_gb + 1e-6)
+        return (
+            sum(t.cpus for t in stay) + sum(w.cpus for w in wanted) <= node.type.cpus + 1e-6
+            and sum(t.memory_gb for t in stay) + sum(w.memory_gb for w in wanted) <= node.type.memory_gb + 1e-6
+        )
 
     if fits([], leave=False):
         return []
@@ -62,8 +76,13 @@
     found = []
     for node in snapshot.nodes.values():
         hold = snapshot.holds.get(node.id)
-        if not (node.up and node.ready and node.id not in job.avoid and allowed(spec, node)
-                and zone_allowed(spec, job.zones, node.zone)) or (hold and hold.owner not in ("", spec.id)):
+        if not (
+            node.up
+            and node.ready
+            and node.id not in job.avoid
+            and allowed(spec, node)
+            and zone_allowed(spec, job.zones, node.zone)
+        ) or (hold and hold.owner not in ("", spec.id)):
             continue
         victims = trial(spec, node, [n for n in nominations if n.machine == node.id], snapshot)
         if victims is not None:
@@ -78,8 +97,13 @@
     kinds = [kind.cpus for kind in snapshot.types.values()]
     found = []
     for node in snapshot.nodes.values():
-        if not (node.up and node.ready and node.id not in job.avoid and allowed(spec, node)
-                and zone_allowed(spec, job.zones, node.zone)):
+        if not (
+            node.up
+            and node.ready
+            and node.id not in job.avoid
+            and allowed(spec, node)
+            and zone_allowed(spec, job.zones, node.zone)
+        ):
             continue
         hold = snapshot.holds.get(node.id)
         if hold is not None and not hold.lets(spec, job.estimate_s, job.overdue):
@@ -94,8 +118,14 @@
     spec = job.spec
     found = []
     for node in snapshot.nodes.values():
-        if not (node.up and node.ready and node.id not in snapshot.holds and node.id not in job.avoid
-                and allowed(spec, node) and zone_allowed(spec, job.zones, node.zone)):
+        if not (
+            node.up
+            and node.ready
+            and node.id not in snapshot.holds
+            and node.id not in job.avoid
+            and allowed(spec, node)
+            and zone_allowed(spec, job.zones, node.zone)
+        ):
             continue
         cpus, memory_gb, at = node.cpus, node.memory_gb, 0.0
         left = sorted(node.tasks, key=lambda task: task.remaining_s)
@@ -103,8 +133,9 @@
             task = left.pop(0)
             cpus, memory_gb, at = cpus + task.cpus, memory_gb + task.memory_gb, task.remaining_s
         if spec.cpus <= cpus and spec.memory_gb <= memory_gb:
-            found.append((at, node.id, Hold(at, cpus - spec.cpus, 0.0, memory_gb - spec.memory_gb,
-                                             spec.id if job.first else "")))
+            found.append(
+                (at, node.id, Hold(at, cpus - spec.cpus, 0.0, memory_gb - spec.memory_gb, spec.id if job.first else ""))
+            )
     if found and len(snapshot.holds) < MAX_HOLDS:
         _, name, hold = min(found, key=lambda item: item[:2])
         snapshot.holds[name] = hold
@@ -124,22 +155,33 @@
     job.count -= 1
 
 
-def place_gang(job: Waiting, snapshot: Snapshot, nominations: list[Nomination], scarce: bool
-               ) -> list[tuple[TaskKey, str]] | None:
+def place_gang(
+    job: Waiting, snapshot: Snapshot, nominations: list[Nomination], scarce: bool
+) -> list[tuple[TaskKey, str]] | None:
     """Tries each zone on a copy of everything, task by task."""
     spec = job.spec
     used = snapshot.usage.setdefault(spec.team, Usage())
     rest = Usage(used.cpus + spec.cpus * (job.count - 1), used.gpus)
     if not within_limit(spec, snapshot.teams.get(spec.team), rest):
         return None
-    heeded = [n for n in nominations
-              if n.key[0] != "expected" or (n.rank > spec.rank and not (job.first or job.overdue))]
+    heeded = [
+        n for n in nominations if n.key[0] != "expected" or (n.rank > spec.rank and not (job.first or job.overdue))
+    ]
     found = []
     for zone in sorted({node.zone for node in snapshot.nodes.values()}) if spec.one_zone else [""]:
         copied = copy.deepcopy(snapshot)
         copied.nodes = {name: node for name, node in copied.nodes.items() if zone in ("", node.zone)}
-        tried = Waiting(spec, job.submitted, job.count, job.tasks, dict(job.zones), job.estimate_s, job.goal_s,
-                        job.avoid, overdue=job.overdue)
+        tried = Waiting(
+            spec,
+            job.submitted,
+            job.count,
+            job.tasks,
+            dict(job.zones),
+            job.estimate_s,
+            job.goal_s,
+            job.avoid,
+            overdue=job.overdue,
+        )
         placed, images_s = [], 0.0
         for index in job.tasks:
             target = find(tried, copied, heeded, scarce)
@@ -161,21 +203,28 @@
     for zone in sorted({node.zone for node in snapshot.nodes.values()}) if spec.one_zone else [""]:
         rooms = []
         for node in snapshot.nodes.values():
-            if (zone in ("", node.zone) and node.up and node.ready and allowed(spec, node)
-                    and node.id not in snapshot.holds and node.id not in job.avoid):
+            if (
+                zone in ("", node.zone)
+                and node.up
+                and node.ready
+                and allowed(spec, node)
+                and node.id not in snapshot.holds
+                and node.id not in job.avoid
+            ):
                 had = 0
                 for at in sorted({0.0, *(t.remaining_s for t in node.tasks)}):
                     stay = [t for t in node.tasks if t.remaining_s > at or at == 0.0]
                     has = 0
-                    while (sum(t.cpus for t in stay) + (has + 1) * spec.cpus <= node.type.cpus + 1e-6
-                           and sum(t.memory_gb for t in stay) + (has + 1) * spec.memory_gb
-                           <= node.type.memory_gb + 1e-6):
+                    while (
+                        sum(t.cpus for t in stay) + (has + 1) * spec.cpus <= node.type.cpus + 1e-6
+                        and sum(t.memory_gb for t in stay) + (has + 1) * spec.memory_gb <= node.type.memory_gb + 1e-6
+                    ):
                         has += 1
                     rooms += [(at, node.id)] * (has - had)
                     had = max(had, has)
         rooms.sort()
         if len(rooms) >= job.count:
-            found.append((rooms[job.count - 1][0], zone, rooms[:job.count]))
+            found.append((rooms[job.count - 1][0], zone, rooms[: job.count]))
     if not found or len(snapshot.holds) >= MAX_HOLDS:
         return
     until, _, chosen = min(found)
@@ -183,9 +232,12 @@
         node, mine = snapshot.nodes[name], [at for at, other in chosen if other == name]
         going = [t for t in node.tasks if t.remaining_s <= max(mine)]
         snapshot.holds[name] = Hold(
-            until, node.cpus + sum(t.cpus for t in going) - len(mine) * spec.cpus, 0.0,
+            until,
+            node.cpus + sum(t.cpus for t in going) - len(mine) * spec.cpus,
+            0.0,
             node.memory_gb + sum(t.memory_gb for t in going) - len(mine) * spec.memory_gb,
-            spec.id if job.first else "")
+            spec.id if job.first else "",
+        )
 
 
 def expect(snapshot: Snapshot) -> list[Nomination]:
@@ -197,14 +249,17 @@
             if node.up and node.ready and allowed(spec, node):
                 room = 0
                 while (room + 1) * spec.cpus <= node.cpus + 1e-6 and (
-                        room + 1) * spec.memory_gb <= node.memory_gb + 1e-6:
+                    room + 1
+                ) * spec.memory_gb <= node.memory_gb + 1e-6:
                     room += 1
                 room -= sum(1 for n in found if n.machine == node.id)
                 rooms.append((node.zone if spec.one_zone else "", room, node.id, len(node.images)))
         if not rooms:
             continue
-        zone = max({zone for zone, _, _, _ in rooms},
-                   key=lambda zone: (min(count, sum(max(0, r) for z, r, _, _ in rooms if z == zone)), zone))
+        zone = max(
+            {zone for zone, _, _, _ in rooms},
+            key=lambda zone: (min(count, sum(max(0, r) for z, r, _, _ in rooms if z == zone)), zone),
+        )
         for _, room, name, _ in sorted((r for r in rooms if r[0] == zone), key=lambda r: (-r[3], -r[1], r[2])):
             for _ in range(min(room, count)):
                 found.append(Nomination(("expected", len(found)), name, spec.rank, spec, 0.0))
@@ -212,8 +267,9 @@
     return found
 
 
-def decide(snapshot: Snapshot, max_placed: int, max_evictions: int
-           ) -> tuple[list[tuple[TaskKey, str]], list[tuple[TaskKey, str, list[TaskKey]]], dict[str, int]]:
+def decide(
+    snapshot: Snapshot, max_placed: int, max_evictions: int
+) -> tuple[list[tuple[TaskKey, str]], list[tuple[TaskKey, str, list[TaskKey]]], dict[str, int]]:
     """Placements, evictions and what is unmet."""
     placed: list[tuple[TaskKey, str]] = []
     evictions: list[tuple[TaskKey, str, list[TaskKey]]] = []
@@ -253,8 +309,12 @@
             if own is not None:
                 nominations.remove(own)
                 node = snapshot.nodes.get(own.machine)
-                if (node is not None and node.ready and zone_allowed(spec, job.zones, node.zone)
-                        and preemption.room_beside(spec, node, [n for n in nominations if n.machine == node.id])):
+                if (
+                    node is not None
+                    and node.ready
+                    and zone_allowed(spec, job.zones, node.zone)
+                    and preemption.room_beside(spec, node, [n for n in nominations if n.machine == node.id])
+                ):
                     target = node
             if target is None and not stuck:
                 heeded = [n for n in nominations if n.key[0] != "expected" or not (job.first or job.overdue)]
--- a/tests/rules.py
+++ b/tests/rules.py
@@ -59,8 +59,11 @@
             self.break_("ran_cancelled", f"{task} starts")
         if at is not None and now > at + IN_FLIGHT_S:
             self.started_after.append(f"{now:.2f} {task}, {now - at:.1f} s after its cancellation was confirmed")
-        if ((job["builds"] and machine.kind["label"] not in job["builds"]) or (machine.spot and not job["loaner"])
-                or (job["yard"] and machine.zone != job["yard"])):
+        if (
+            (job["builds"] and machine.kind["label"] not in job["builds"])
+            or (machine.spot and not job["loaner"])
+            or (job["yard"] and machine.zone != job["yard"])
+        ):
             self.break_("wrong_place", f"{task} on {machine.name}")
         zones = [m.zone for t, m in self.where.items() if t != task and t.startswith(job["nameId"] + "/")]
         if job["together"] and any(zone != machine.zone for zone in zones):
@@ -150,20 +153,29 @@
 
     def check_waiting(self) -> None:
         """To be called every few seconds: nothing waits for long beside a machine with room, once troubles are over."""
-        placed = {task: machine for machine in self.world.cloud.machines.values() for task, state
-                  in machine.tasks.items() if state["phase"] != "exited"}
+        placed = {
+            task: machine
+            for machine in self.world.cloud.machines.values()
+            for task, state in machine.tasks.items()
+            if state["phase"] != "exited"
+        }
         used: dict[str, float] = {}
         for task in placed:
             job = self.job_of(task)
             used[job["crew"]] = used.get(job["crew"], 0.0) + job["vcpus"]
-        free = {name: machine.kind["vcpus"] - sum(self.job_of(task)["vcpus"] for task, on in placed.items()
-                                                  if on is machine)
-                for name, machine in self.world.cloud.machines.items()
-                if machine.up and not machine.hung and machine.notice is None}
+        free = {
+            name: machine.kind["vcpus"]
+            - sum(self.job_of(task)["vcpus"] for task, on in placed.items() if on is machine)
+            for name, machine in self.world.cloud.machines.items()
+            if machine.up and not machine.hung and machine.notice is None
+        }
         for name, job in self.world.jobs.items():
             tasks = [f"{name}/{i}" for i in range(job["pieces"])]
-            waits = name in self.last and not self.is_final(name) and any(
-                task not in placed and task not in self.done for task in tasks)
+            waits = (
+                name in self.last
+                and not self.is_final(name)
+                and any(task not in placed and task not in self.done for task in tasks)
+            )
             if waits and job["shape"] == "array" and self._has_room(job, used, free, placed):
                 since = max(self.beside_room.setdefault(name, self.world.now), self.troubled_until)
                 if self.world.now - since > WAITING_S:
@@ -171,15 +183,20 @@
             else:
                 self.beside_room.pop(name, None)
 
-    def _has_room(self, job: dict[str, Any], used: dict[str, float], free: dict[str, float],
-                  placed: "dict[str, Machine]") -> bool:
+    def _has_room(
+        self, job: dict[str, Any], used: dict[str, float], free: dict[str, float], placed: "dict[str, Machine]"
+    ) -> bool:
         if used.get(job["crew"], 0.0) + job["vcpus"] > LIMITS[job["crew"]]:
             return False
         zones = [machine.zone for task, machine in placed.items() if task.startswith(job["nameId"] + "/")]
         for name, left in free.items():
             machine = self.world.cloud.machines[name]
-            fits = left >= job["vcpus"] and (not job["builds"] or machine.kind["label"] in job["builds"]) and (
-                job["loaner"] or not machine.spot) and job["yard"] in (None, machine.zone)
+            fits = (
+                left >= job["vcpus"]
+                and (not job["builds"] or machine.kind["label"] in job["builds"])
+                and (job["loaner"] or not machine.spot)
+                and job["yard"] in (None, machine.zone)
+            )
             together = not job["together"] or all(zone == machine.zone for zone in zones)
             apart = not job["spread"] or zones.count(machine.zone) + 1 <= (job["pieces"] + 1) // 2
             if fits and together and apart:
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -67,10 +67,30 @@
 """
 
 TYPES = [
-    {"label": "small", "vcpus": 8, "accelerators": 0, "memGb": 32, "cacheGb": 50, "pullGbPerS": 1.0, "price": 0.5,
-     "spotPrice": 0.2, "bootS": 15, "yards": ["a", "b"]},
-    {"label": "large", "vcpus": 32, "accelerators": 0, "memGb": 128, "cacheGb": 50, "pullGbPerS": 1.0, "price": 2.0,
-     "spotPrice": 0.9, "bootS": 15, "yards": ["a", "b"]},
+    {
+        "label": "small",
+        "vcpus": 8,
+        "accelerators": 0,
+        "memGb": 32,
+        "cacheGb": 50,
+        "pullGbPerS": 1.0,
+        "price": 0.5,
+        "spotPrice": 0.2,
+        "bootS": 15,
+        "yards": ["a", "b"],
+    },
+    {
+        "label": "large",
+        "vcpus": 32,
+        "accelerators": 0,
+        "memGb": 128,
+        "cacheGb": 50,
+        "pullGbPerS": 1.0,
+        "price": 2.0,
+        "spotPrice": 0.9,
+        "bootS": 15,
+        "yards": ["a", "b"],
+    },
 ]
 
 
@@ -126,8 +146,9 @@
             early = defer.maybeDeferred(self.handle, caller, method, path, body)
             world.clock.callLater(wait, early.chainDeferred, answered)
         else:
-            world.clock.callLater(wait, lambda: defer.maybeDeferred(
-                self.handle, caller, method, path, body).chainDeferred(answered))
+            world.clock.callLater(
+                wait, lambda: defer.maybeDeferred(self.handle, caller, method, path, body).chainDeferred(answered)
+            )
         return answered
 
     def down_for(self, caller: str) -> bool:
@@ -231,8 +252,18 @@
             if self.down_for(caller) or (not news and self.world.now < until):
                 self.world.clock.callLater(0.05, look)
                 return
-            answered.callback(Reply(200, {"epoch": self.revision, "news": [
-                {"delete": k, "stamp": r} if v is None else {"set": k, "v": v, "stamp": r} for k, v, r in news]}))
+            answered.callback(
+                Reply(
+                    200,
+                    {
+                        "epoch": self.revision,
+                        "news": [
+                            {"delete": k, "stamp": r} if v is None else {"set": k, "v": v, "stamp": r}
+                            for k, v, r in news
+                        ],
+                    },
+                )
+            )
 
         look()
         return answered
@@ -263,11 +294,21 @@
 
     def report(self) -> dict[str, Any]:
         self.seq += 1
-        return {"host": self.name, "endpoint": self.address, "build": self.kind["label"], "yard": self.zone,
-                "loaner": self.spot, "stint": self.session, "tick": self.seq, "baton": self.token,
-                "warningS": None if self.notice is None else max(0.0, self.notice - self.world.now),
-                "pieces": [{"piece": t, "try": s["try"], "phase": s["phase"], "cause": s["cause"],
-                            "kept": s.get("kept", False)} for t, s in self.tasks.items()]}
+        return {
+            "host": self.name,
+            "endpoint": self.address,
+            "build": self.kind["label"],
+            "yard": self.zone,
+            "loaner": self.spot,
+            "stint": self.session,
+            "tick": self.seq,
+            "baton": self.token,
+            "warningS": None if self.notice is None else max(0.0, self.notice - self.world.now),
+            "pieces": [
+                {"piece": t, "try": s["try"], "phase": s["phase"], "cause": s["cause"], "kept": s.get("kept", False)}
+                for t, s in self.tasks.items()
+            ],
+        }
 
     def lease_loop(self) -> None:
         if self.gone:
@@ -295,8 +336,9 @@
             return
         self.reporting = True
         sent, session, target = self.world.now, self.session, self.target
-        waiting = self.world.send(self.name, target,
-                                  lambda: self.world.to_node(target, lambda: self.world.deliver_report(target, body)))
+        waiting = self.world.send(
+            self.name, target, lambda: self.world.to_node(target, lambda: self.world.deliver_report(target, body))
+        )
         body = messages.decode(messages.encode(self.report()))
         timer = self.world.clock.callLater(4.0, waiting.cancel)
 
@@ -453,8 +495,9 @@
 
     def present(self, name: str) -> bool:
         machine, state = self.members[name]
-        return not machine.gone and not machine.hung and machine.tasks.get(name) is state and (
-            state["phase"] != "exited")
+        return (
+            not machine.gone and not machine.hung and machine.tasks.get(name) is state and (state["phase"] != "exited")
+        )
 
     def gather(self, name: str, machine: Machine, state: dict[str, Any]) -> None:
         self.members[name] = machine, state
@@ -561,10 +604,23 @@
 
     def loop(self) -> None:
         self.world.clock.callLater(1.0, self.loop)
-        self.history.append((self.world.now, [
-            {"nameId": m.name, "endpoint": m.address, "build": m.kind["label"], "yard": m.zone, "loaner": m.spot,
-             "phase": "running" if m.up else "starting", "ageS": self.world.now - m.rented}
-            for m in self.machines.values()]))
+        self.history.append(
+            (
+                self.world.now,
+                [
+                    {
+                        "nameId": m.name,
+                        "endpoint": m.address,
+                        "build": m.kind["label"],
+                        "yard": m.zone,
+                        "loaner": m.spot,
+                        "phase": "running" if m.up else "starting",
+                        "ageS": self.world.now - m.rented,
+                    }
+                    for m in self.machines.values()
+                ],
+            )
+        )
 
     def handle(self, caller: str, method: str, path: str, body: Any) -> Reply:
         if self.world.now < self.down_until:
@@ -587,8 +643,9 @@
         if body["hire"] in self.requests:
             return Reply(200, {"hosts": self.requests[body["hire"]]})
         kind = next(k for k in TYPES if k["label"] == body["build"])
-        present = [m for m in self.machines.values()
-                   if (m.kind, m.zone, m.spot) == (kind, body["yard"], body["loaner"])]
+        present = [
+            m for m in self.machines.values() if (m.kind, m.zone, m.spot) == (kind, body["yard"], body["loaner"])
+        ]
         count = min(body["count"], self.capacity - len(present), self.most - len(self.machines))
         if count <= 0 or kind["label"] not in self.kinds:
             return Reply(503, {"error": "no capacity"})
@@ -618,8 +675,15 @@
 class Connection:
     """What a node has in place of the pooled client; bodies go through the real encoding."""
 
-    def __init__(self, world: "World", name: str, process: int, idle_s: float = 60.0,
-                 keep: Callable[[], bool] = lambda: True, **_: Any) -> None:
+    def __init__(
+        self,
+        world: "World",
+        name: str,
+        process: int,
+        idle_s: float = 60.0,
+        keep: Callable[[], bool] = lambda: True,
+        **_: Any,
+    ) -> None:
         self.world, self.name, self.process, self.idle_s, self.keep = world, name, process, idle_s, keep
 
     async def request(self, method: str, address: str, path: str, body: Any, timeout_s: float) -> Reply:
@@ -717,8 +781,15 @@
 class World:
     """Everything outside the nodes, the nodes, and the rules they have to keep."""
 
-    def __init__(self, seed: int, capacity: int = 3, loss: float = 0.002, value_kb: float = 4.0,
-                 coming: dict[str, float] | None = None, version: Version = NEW) -> None:
+    def __init__(
+        self,
+        seed: int,
+        capacity: int = 3,
+        loss: float = 0.002,
+        value_kb: float = 4.0,
+        coming: dict[str, float] | None = None,
+        version: Version = NEW,
+    ) -> None:
         """`coming` are the limits that the state service will have; `version` is what the nodes run at first."""
         self.value_kb = value_kb
         self.coming = coming or {}
@@ -784,11 +855,15 @@
 
     def settings(self, name: str) -> str:
         number = self.names.index(name)
-        peers = "".join(f'[[peers]]\nmember = "{other}"\nsite = "a"\naddress = "10.0.0.{i}:8081"\n'
-                        for i, other in enumerate(self.names) if other != name)
+        peers = "".join(
+            f'[[peers]]\nmember = "{other}"\nsite = "a"\naddress = "10.0.0.{i}:8081"\n'
+            for i, other in enumerate(self.names)
+            if other != name
+        )
         coming = "".join(f"next.{limit} = {value}\n" for limit, value in self.coming.items())
-        return SETTINGS.format(n=number, zone="a" if number else "b", peers=peers, value_kb=self.value_kb,
-                               coming=coming)
+        return SETTINGS.format(
+            n=number, zone="a" if number else "b", peers=peers, value_kb=self.value_kb, coming=coming
+        )
 
     def lower_limits(self) -> None:
         """The limits that were announced come into force."""
@@ -803,8 +878,12 @@
         number = self.processes[name]
         process = Process(self, name, number)
         version = self.versions[name]
-        node = version.Node(process, version.parse(self.settings(name)), lambda: self.now + 1000.0,
-                    lambda *_, **options: Connection(self, name, number, **options))
+        node = version.Node(
+            process,
+            version.parse(self.settings(name)),
+            lambda: self.now + 1000.0,
+            lambda *_, **options: Connection(self, name, number, **options),
+        )
         node.in_thread = lambda function, *arguments: defer.maybeDeferred(function, *arguments)  # type: ignore
         node.nonce = f"{name}-{number}"
         node.election._nonce = node.nonce
@@ -987,10 +1066,28 @@
     # -- users --------------------------------------------------------------------
 
     def job(self, number: int, **changes: Any) -> dict[str, Any]:
-        body = {"nameId": f"j-{number:06d}", "lane": "batch", "crew": "core", "shape": "array", "urgency": "standard",
-                "pieces": 3, "vcpus": 4.0, "accelerators": 0.0, "memGb": 4.0, "bundle": "img", "imageGb": 1.0,
-                "builds": None, "yard": None, "together": False, "spread": False, "loaner": True, "guessS": 10.0,
-                "snapshotS": 0.0, "stashS": 0.0, "dueS": None}
+        body = {
+            "nameId": f"j-{number:06d}",
+            "lane": "batch",
+            "crew": "core",
+            "shape": "array",
+            "urgency": "standard",
+            "pieces": 3,
+            "vcpus": 4.0,
+            "accelerators": 0.0,
+            "memGb": 4.0,
+            "bundle": "img",
+            "imageGb": 1.0,
+            "builds": None,
+            "yard": None,
+            "together": False,
+            "spread": False,
+            "loaner": True,
+            "guessS": 10.0,
+            "snapshotS": 0.0,
+            "stashS": 0.0,
+            "dueS": None,
+        }
         return body | changes
 
     def submit(self, body: dict[str, Any]) -> None:
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -50,8 +50,17 @@
     nodes = []
     serial = itertools.count(100)
     # Two gangs may have tasks on any of the machines.
-    gangs = [spec(900 + i, float(draw(st.integers(1, 4))), draw(st.sampled_from(["idle", "standard", "urgent"])),
-                  draw(st.sampled_from(["core", "edge"])), tasks=4, kind="gang") for i in range(2)]
+    gangs = [
+        spec(
+            900 + i,
+            float(draw(st.integers(1, 4))),
+            draw(st.sampled_from(["idle", "standard", "urgent"])),
+            draw(st.sampled_from(["core", "edge"])),
+            tasks=4,
+            kind="gang",
+        )
+        for i in range(2)
+    ]
     unsaved = [float(draw(st.integers(0, 30))) for _ in gangs]
     for number in range(draw(st.integers(1, 3))):
         kind = draw(st.sampled_from([SMALL, LARGE]))
@@ -62,17 +71,44 @@
             if which < 2 and gangs[which].cpus <= free:
                 job = gangs[which]
                 free -= job.cpus
-                tasks.append(Running((job.id, next(serial)), job, job.team, job.rank, job.cpus, 0.0, 1.0,
-                                     unsaved_s=unsaved[which], remaining_s=7.0, together=4))
+                tasks.append(
+                    Running(
+                        (job.id, next(serial)),
+                        job,
+                        job.team,
+                        job.rank,
+                        job.cpus,
+                        0.0,
+                        1.0,
+                        unsaved_s=unsaved[which],
+                        remaining_s=7.0,
+                        together=4,
+                    )
+                )
                 continue
             cpus = float(draw(st.integers(1, 8)))
             if cpus > free:
                 break
             free -= cpus
-            job = spec(next(serial), cpus, draw(st.sampled_from(["idle", "standard", "urgent"])),
-                       draw(st.sampled_from(["core", "edge"])))
-            tasks.append(Running((job.id, 0), job, job.team, job.rank, cpus, 0.0, 1.0,
-                                 unsaved_s=float(draw(st.integers(0, 30))), remaining_s=5.0))
+            job = spec(
+                next(serial),
+                cpus,
+                draw(st.sampled_from(["idle", "standard", "urgent"])),
+                draw(st.sampled_from(["core", "edge"])),
+            )
+            tasks.append(
+                Running(
+                    (job.id, 0),
+                    job,
+                    job.team,
+                    job.rank,
+                    cpus,
+                    0.0,
+                    1.0,
+                    unsaved_s=float(draw(st.integers(0, 30))),
+                    remaining_s=5.0,
+                )
+            )
         nodes.append(node(f"n-{number}", kind, tasks))
     return nodes
 
@@ -88,7 +124,8 @@
 @DERANDOMIZED
 @given(fleets(), st.integers(1, 16), st.sampled_from(["idle", "standard", "urgent"]), st.sampled_from(["core", "edge"]))
 def test_preemption_is_the_designs_trial_on_the_best_machine(
-        nodes: list[Node], cpus: int, priority: str, team: str) -> None:
+    nodes: list[Node], cpus: int, priority: str, team: str
+) -> None:
     job = spec(1, float(cpus), priority, team)
     usage = used(nodes)
     before = [(n.cpus, [t.key for t in n.tasks]) for n in nodes]
@@ -133,10 +170,19 @@
     waiting = []
     for number in range(draw(st.integers(0, 5))):
         tasks = draw(st.integers(1, 5))
-        job = spec(number, float(draw(st.integers(1, 12))), draw(st.sampled_from(["idle", "standard", "urgent"])),
-                   draw(st.sampled_from(["core", "edge"])), tasks=tasks, spot=draw(st.booleans()),
-                   zone=draw(st.sampled_from([None, "a"])), one_zone=draw(st.booleans()), spread=draw(st.booleans()),
-                   types=draw(st.sampled_from([None, ["large"]])), kind=draw(st.sampled_from(["array", "gang"])))
+        job = spec(
+            number,
+            float(draw(st.integers(1, 12))),
+            draw(st.sampled_from(["idle", "standard", "urgent"])),
+            draw(st.sampled_from(["core", "edge"])),
+            tasks=tasks,
+            spot=draw(st.booleans()),
+            zone=draw(st.sampled_from([None, "a"])),
+            one_zone=draw(st.booleans()),
+            spread=draw(st.booleans()),
+            types=draw(st.sampled_from([None, ["large"]])),
+            kind=draw(st.sampled_from(["array", "gang"])),
+        )
         waiting.append(Waiting(job, float(draw(st.integers(0, 50))), tasks, list(range(tasks)), {}, 10.0))
     return Snapshot(60.0, {n.id: n for n in nodes}, waiting, TEAMS, used(nodes), {}, {"small": SMALL, "large": LARGE})
 
@@ -185,8 +231,10 @@
         if random.random() < 0.3 and not job.spec.is_gang:
             key, name = (job.spec.id, job.tasks[-1]), random.choice(list(snapshot.nodes))
             snapshot.nominations[key] = Nomination(key, name, job.spec.rank, job.spec, 9.0)
-    snapshot.expected = [(spec(950 + i, 2.0, priority, kind="gang", spot=False, one_zone=i == 0), random.randrange(6))
-                         for i, priority in enumerate(random.sample(["idle", "standard", "urgent"], 2))]
+    snapshot.expected = [
+        (spec(950 + i, 2.0, priority, kind="gang", spot=False, one_zone=i == 0), random.randrange(6))
+        for i, priority in enumerate(random.sample(["idle", "standard", "urgent"], 2))
+    ]
     expected = plain.decide(copy.deepcopy(snapshot), 6, max_evictions)
     before = {name: (one, one.cpus, list(one.tasks)) for name, one in snapshot.nodes.items()}
     decision = decide(snapshot, 6, max_evictions)
@@ -201,38 +249,80 @@
     """Some machines in two zones, partly full, and gangs among what waits."""
 
     def any_spec(number: int, cpus: int, **more: object) -> JobSpec:
-        return spec(number, float(cpus), draw.choice(["idle", "standard", "urgent"]),
-                    draw.choice(["core", "edge", "free"]), image=draw.choice(["img", "img-2"]),
-                    image_gb=draw.choice([1.0, 3.0]), **more)
+        return spec(
+            number,
+            float(cpus),
+            draw.choice(["idle", "standard", "urgent"]),
+            draw.choice(["core", "edge", "free"]),
+            image=draw.choice(["img", "img-2"]),
+            image_gb=draw.choice([1.0, 3.0]),
+            **more,
+        )
 
     running = [any_spec(900 + i, draw.randint(1, 3), tasks=4, kind="gang") for i in range(2)]
     running += [any_spec(910 + i, draw.randint(1, 6)) for i in range(6)]
     left = {job.id: float(draw.randint(1, 40)) for job in running}
     nodes, serial = [], itertools.count()
     for number in range(draw.randint(3, 6)):
-        one = node(f"n-{number}", draw.choice([SMALL, LARGE]), [],
-                   images=frozenset(draw.sample(["img", "img-2"], draw.randint(0, 2))))
+        one = node(
+            f"n-{number}",
+            draw.choice([SMALL, LARGE]),
+            [],
+            images=frozenset(draw.sample(["img", "img-2"], draw.randint(0, 2))),
+        )
         one.zone, one.spot = draw.choice("ab"), draw.random() < 0.3
         one.ready = draw.random() < 0.9
         for job in draw.choices(running, k=draw.randint(0, 6)):
             if job.cpus <= one.cpus:
-                one.take(Running((job.id, next(serial)), job, job.team, job.rank, job.cpus, 0.0, 1.0,
-                                 unsaved_s=left[job.id] / 2, remaining_s=left[job.id], safe=draw.random() < 0.7,
-                                 leaving=draw.random() < 0.1, together=4 if job.is_gang else 1,
-                                 fresh=left[job.id] < 15))
+                one.take(
+                    Running(
+                        (job.id, next(serial)),
+                        job,
+                        job.team,
+                        job.rank,
+                        job.cpus,
+                        0.0,
+                        1.0,
+                        unsaved_s=left[job.id] / 2,
+                        remaining_s=left[job.id],
+                        safe=draw.random() < 0.7,
+                        leaving=draw.random() < 0.1,
+                        together=4 if job.is_gang else 1,
+                        fresh=left[job.id] < 15,
+                    )
+                )
         nodes.append(one)
     waits = []
     for number in range(draw.randint(2, 5)):
         kind, tasks = draw.choice(["array", "gang", "gang"]), draw.randint(2, 6)
-        job = any_spec(number, draw.randint(1, 4), tasks=tasks, kind=kind, one_zone=draw.random() < 0.6,
-                       spread=draw.random() < 0.2, spot=draw.random() < 0.4)
-        waits.append(Waiting(job, float(draw.randint(0, 50)), tasks, list(range(tasks)), {}, float(draw.randint(2, 20)),
-                             draw.choice([None, 2.0]), aged=draw.random() < 0.2, begun=draw.random() < 0.5,
-                             overdue=draw.random() < 0.3))
+        job = any_spec(
+            number,
+            draw.randint(1, 4),
+            tasks=tasks,
+            kind=kind,
+            one_zone=draw.random() < 0.6,
+            spread=draw.random() < 0.2,
+            spot=draw.random() < 0.4,
+        )
+        waits.append(
+            Waiting(
+                job,
+                float(draw.randint(0, 50)),
+                tasks,
+                list(range(tasks)),
+                {},
+                float(draw.randint(2, 20)),
+                draw.choice([None, 2.0]),
+                aged=draw.random() < 0.2,
+                begun=draw.random() < 0.5,
+                overdue=draw.random() < 0.3,
+            )
+        )
     expected = [(any_spec(950 + i, 2, kind="gang", spot=i == 1, one_zone=i == 0), draw.randint(0, 8)) for i in range(2)]
     teams = {name: Team(name, team.cpus, 2 * team.cpus_max) for name, team in TEAMS.items()}
-    return Snapshot(60.0, {n.id: n for n in nodes}, waits, teams, used(nodes), {}, {"small": SMALL, "large": LARGE},
-                    expected)
+    return Snapshot(
+        60.0, {n.id: n for n in nodes}, waits, teams, used(nodes), {}, {"small": SMALL, "large": LARGE}, expected
+    )
 
 
 def test_gangs_are_placed_held_for_and_stopped_as_in_the_plain_model() -> None:
@@ -262,10 +352,13 @@
 @given(fleets(), st.lists(st.tuples(st.integers(1, 8), st.sampled_from(["standard", "urgent"])), max_size=5))
 def test_a_task_waits_only_when_it_fits_nowhere(nodes: list[Node], wanted: list[tuple[int, str]]) -> None:
     """Against first fit by brute force: what is left unplaced has no room left."""
-    waiting = [Waiting(spec(i, float(cpus), priority, "free", tasks=1), 0.0, 1, [0], {}, 4.0)
-               for i, (cpus, priority) in enumerate(wanted)]
-    snapshot = Snapshot(0.0, {n.id: n for n in nodes}, waiting, TEAMS, used(nodes), {},
-                        {"small": SMALL, "large": LARGE})
+    waiting = [
+        Waiting(spec(i, float(cpus), priority, "free", tasks=1), 0.0, 1, [0], {}, 4.0)
+        for i, (cpus, priority) in enumerate(wanted)
+    ]
+    snapshot = Snapshot(
+        0.0, {n.id: n for n in nodes}, waiting, TEAMS, used(nodes), {}, {"small": SMALL, "large": LARGE}
+    )
     decision = decide(snapshot, 100, 0)
     placed = {key[0] for key, _ in decision.placed}
     for job in waiting:
@@ -284,7 +377,8 @@
 
     first = decide(snapshot({}), 10, 8)
     assert [(key, e.machine, [v.key for v in e.victims]) for key, e in first.evictions] == [
-        (("j-1", 0), "n-0", [("j-9", 0)])]
+        (("j-1", 0), "n-0", [("j-9", 0)])
+    ]
     one.give(busy)
     nomination = Nomination(("j-1", 0), "n-0", 2, urgent, 10.0)
     waiting_urgent_last = snapshot({("j-1", 0): nomination})
@@ -318,8 +412,12 @@
     return Waiting(job, 0.0, count, list(range(count)), {}, 10.0)
 
 
-def scale(unmet: list[tuple[Waiting, int]], nodes: list[Node], refused: set[Offer] | None = None,
-          settings: OperatorSettings | None = None):
+def scale(
+    unmet: list[tuple[Waiting, int]],
+    nodes: list[Node],
+    refused: set[Offer] | None = None,
+    settings: OperatorSettings | None = None,
+):
     snapshot = Snapshot(0.0, {n.id: n for n in nodes}, [], TEAMS, used(nodes), {}, {"small": SMALL, "large": LARGE})
     return plan(snapshot, unmet, refused or set(), [], True, settings or OperatorSettings())
 
@@ -333,8 +431,10 @@
     assert list(elsewhere.rent) == [("small", "b", True)]
     dear = scale([(waiting(spec(1, 4.0, spot=False), 2), 2)], [])
     assert list(dear.rent) == [("small", "a", False)]
-    assert scale([(waiting(spec(1, 4.0, spot=False), 2), 2)], [], settings=OperatorSettings(rent_full_price=False)
-                 ).rent == {}
+    assert (
+        scale([(waiting(spec(1, 4.0, spot=False), 2), 2)], [], settings=OperatorSettings(rent_full_price=False)).rent
+        == {}
+    )
     assert scale([(waiting(spec(1, 4.0), 2), 2)], [], settings=OperatorSettings(max_machines=0)).rent == {}
 
 
--- a/tests/test_gangs.py
+++ b/tests/test_gangs.py
@@ -30,8 +30,18 @@
 
 
 def gang(world: World, number: int, **changes: object) -> dict:
-    fields = {"lane": "solver", "shape": "gang", "pieces": 4, "vcpus": 2.0, "memGb": 2.0, "loaner": False,
-              "together": True, "guessS": 12.0, "snapshotS": 4.0, "stashS": 1.0} | changes
+    fields = {
+        "lane": "solver",
+        "shape": "gang",
+        "pieces": 4,
+        "vcpus": 2.0,
+        "memGb": 2.0,
+        "loaner": False,
+        "together": True,
+        "guessS": 12.0,
+        "snapshotS": 4.0,
+        "stashS": 1.0,
+    } | changes
     return world.job(number, **fields)
 
 
@@ -225,8 +235,13 @@
     world.cloud.most = 1
     world.cloud.kinds = {"large"}
     for number in range(90):
-        world.clock.callLater(1.0 + 2.0 * number, world.submit, world.job(
-            1000 + number, pieces=2, vcpus=4.0, guessS=7.0, builds=["large"], crew=("core", "edge")[number % 2]))
+        world.clock.callLater(
+            1.0 + 2.0 * number,
+            world.submit,
+            world.job(
+                1000 + number, pieces=2, vcpus=4.0, guessS=7.0, builds=["large"], crew=("core", "edge")[number % 2]
+            ),
+        )
     wide = gang(world, 1, pieces=8, vcpus=4.0, builds=["large"], loaner=True, guessS=10.0)
     world.clock.callLater(40.0, world.submit, wide)
     while world.now < 300 and not world.rules.is_final("j-000001"):
@@ -246,22 +261,26 @@
     return job
 
 
-@pytest.mark.parametrize("states, stage", [
-    ([], gangs.Stage.WAITING),
-    ([(1, "planned", False)] * 4, gangs.Stage.BINDING),
-    ([(1, BOUND, False)] * 3 + [(1, "planned", False)], gangs.Stage.BINDING),
-    ([(1, BOUND, False)] * 4, gangs.Stage.WHOLE),
-    ([(1, BOUND, False)] * 3, gangs.Stage.BROKEN),
-    ([(1, BOUND, False)] * 3 + [(2, BOUND, False)], gangs.Stage.BROKEN),
-    ([(1, BOUND, False)] * 3 + [(1, ENDED, False)], gangs.Stage.BROKEN),
-    ([(1, BOUND, False), (1, ENDED, True)], gangs.Stage.COMPLETED),
-])
+@pytest.mark.parametrize(
+    "states, stage",
+    [
+        ([], gangs.Stage.WAITING),
+        ([(1, "planned", False)] * 4, gangs.Stage.BINDING),
+        ([(1, BOUND, False)] * 3 + [(1, "planned", False)], gangs.Stage.BINDING),
+        ([(1, BOUND, False)] * 4, gangs.Stage.WHOLE),
+        ([(1, BOUND, False)] * 3, gangs.Stage.BROKEN),
+        ([(1, BOUND, False)] * 3 + [(2, BOUND, False)], gangs.Stage.BROKEN),
+        ([(1, BOUND, False)] * 3 + [(1, ENDED, False)], gangs.Stage.BROKEN),
+        ([(1, BOUND, False), (1, ENDED, True)], gangs.Stage.COMPLETED),
+    ],
+)
 def test_what_becomes_of_a_gang_follows_from_its_placements(states: list, stage: gangs.Stage) -> None:
     job = job_of(states, tasks=4)
     assert gangs.stage(job) is stage
     assert gangs.may_start(job) is (stage is gangs.Stage.WHOLE)
-    assert gangs.next_attempt(job) == (1 if any(s == "planned" for _, s, _ in states) or not states
-                                       else 1 + max(a for a, _, _ in states))
+    assert gangs.next_attempt(job) == (
+        1 if any(s == "planned" for _, s, _ in states) or not states else 1 + max(a for a, _, _ in states)
+    )
 
 
 def test_gangs_that_can_never_be_placed_are_refused() -> None:
@@ -282,9 +301,22 @@
 
 
 def test_the_wires_words_of_gangs_are_translated() -> None:
-    body = {"host": "n-1", "endpoint": "n-1:1", "build": "small", "yard": "a", "stint": 1, "tick": 1, "baton": 1,
-            "pieces": [{"piece": "j-1/0", "try": 1, "phase": "gathering"},
-                       {"piece": "j-1/1", "try": 1, "phase": "exited", "cause": "mates_gone"},
-                       {"piece": "j-1/2", "try": 1, "phase": "exited", "cause": "incomplete"}]}
+    body = {
+        "host": "n-1",
+        "endpoint": "n-1:1",
+        "build": "small",
+        "yard": "a",
+        "stint": 1,
+        "tick": 1,
+        "baton": 1,
+        "pieces": [
+            {"piece": "j-1/0", "try": 1, "phase": "gathering"},
+            {"piece": "j-1/1", "try": 1, "phase": "exited", "cause": "mates_gone"},
+            {"piece": "j-1/2", "try": 1, "phase": "exited", "cause": "incomplete"},
+        ],
+    }
     assert [(t.state, t.why) for t in parse_report(body).tasks] == [
-        ("waiting", None), ("exited", "peer lost"), ("exited", "gang not complete")]
+        ("waiting", None),
+        ("exited", "peer lost"),
+        ("exited", "gang not complete"),
+    ]
--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -19,8 +19,11 @@
 def long_jobs(world: World, jobs: int = 9) -> None:
     """Work that is still running when the troubles are over."""
     for number in range(jobs):
-        world.clock.callLater(1.0 + 0.5 * number, world.submit, world.job(
-            number, pieces=3, vcpus=3.0, guessS=150.0, crew=("core", "edge")[number % 2]))
+        world.clock.callLater(
+            1.0 + 0.5 * number,
+            world.submit,
+            world.job(number, pieces=3, vcpus=3.0, guessS=150.0, crew=("core", "edge")[number % 2]),
+        )
 
 
 def some_machines(world: World, part: int = 2) -> list:
@@ -92,6 +95,7 @@
 
 def silence(which: str, seconds: float, part: int = 2) -> Trouble:
     """Machines that hear nothing (`deaf`), or reach no controller (`mute`)."""
+
     def start(world: World) -> None:
         for machine in some_machines(world, part):
             getattr(world, which)[machine.name] = world.now + seconds
@@ -114,6 +118,7 @@
 
 def cancel_now(count: int, hang_s: float = 0.0) -> Trouble:
     """Users call off jobs that run, within a fifth of a second; some of their machines hang."""
+
     def start(world: World) -> None:
         running = list(dict.fromkeys(task.rpartition("/")[0] for task in world.rules.where))[:count]
         for job in running:
@@ -142,6 +147,7 @@
 
 def hand_over(times: int, apart_s: float) -> Trouble:
     """The leadership goes to and fro: whoever leads ends, and is back at once."""
+
     def start(world: World) -> None:
         def end() -> None:
             name = world.leader()
@@ -156,6 +162,7 @@
 
 def leader_alone(seconds: float) -> Trouble:
     """No state service and no peers, but all its workers and users."""
+
     def start(world: World) -> None:
         name = world.leader() or "node-0"
         for other in ["state", *(n for n in world.names if n != name)]:
@@ -168,8 +175,12 @@
     def start(world: World) -> None:
         inside = ["node-1", "node-2"] if zone == "a" else ["node-0"]
         inside += [m.name for m in world.cloud.machines.values() if m.zone == zone]
-        outside = ["state", "cloud", *(n for n in world.names if n not in inside),
-                   *(m.name for m in world.cloud.machines.values() if m.zone != zone)]
+        outside = [
+            "state",
+            "cloud",
+            *(n for n in world.names if n not in inside),
+            *(m.name for m in world.cloud.machines.values() if m.zone != zone),
+        ]
         for one in inside:
             for other in outside:
                 world.cut(one, other, seconds, hold=True)
@@ -224,8 +235,15 @@
 
 def odd_requests(world: World) -> None:
     """Jobs that no machine or team can take, and repeats of what is known, over all nodes."""
-    odd = [{"vcpus": 64.0}, {"memGb": 500.0}, {"crew": "nobody"}, {"yard": "z"}, {"builds": ["huge"]},
-           {"accelerators": 1.0}, {"crew": "edge", "shape": "standing", "pieces": 40, "vcpus": 4.0}]
+    odd = [
+        {"vcpus": 64.0},
+        {"memGb": 500.0},
+        {"crew": "nobody"},
+        {"yard": "z"},
+        {"builds": ["huge"]},
+        {"accelerators": 1.0},
+        {"crew": "edge", "shape": "standing", "pieces": 40, "vcpus": 4.0},
+    ]
     for number, changes in enumerate(odd):
         body = world.job(800 + number, **changes)
         world.rules.impossible.add(body["nameId"])
@@ -247,6 +265,7 @@
 
 # -- the gap: a leader refused alone, cancellations confirmed by others, then an outage for all ----------------
 
+
 def gap(seed: int, apart_s: float, trouble: Trouble, outage_s: float = CANCEL_S + 12.0, twice: bool = False) -> World:
     world = World(seed=seed, loss=0.002)
     long_jobs(world)
@@ -262,8 +281,11 @@
     return world
 
 
-@pytest.mark.parametrize("trouble", [nothing, hang_all(9.0), cut_machines(9.0, 2), silence("deaf", 9.0),
-                                     silence("mute", 9.0)], ids=["none", "hang", "cut off", "deaf", "mute"])
+@pytest.mark.parametrize(
+    "trouble",
+    [nothing, hang_all(9.0), cut_machines(9.0, 2), silence("deaf", 9.0), silence("mute", 9.0)],
+    ids=["none", "hang", "cut off", "deaf", "mute"],
+)
 @pytest.mark.parametrize("apart_s", [0.24, 0.8, 1.3, 1.6, 2.4, 3.6])
 def test_the_gap(apart_s: float, trouble: Trouble) -> None:
     """What users were told is cancelled is gone in time, though its leader never hears of it while it answers."""
@@ -341,71 +363,172 @@
 DAYS: dict[str, Day] = {
     "all controllers away for longer than a lease": ([(0.0, all_away(15.0)), (2.0, full_teams)], 60.0),
     "more work than room over slow links": (
-        [(0.0, full_teams), (1.0, slow_store(40.0)), (2.0, held_commands(30.0, 3.0)), (10.0, crash_leader)], 60.0),
+        [(0.0, full_teams), (1.0, slow_store(40.0)), (2.0, held_commands(30.0, 3.0)), (10.0, crash_leader)],
+        60.0,
+    ),
     "a report is held back until a new leader has acted": (
-        [(0.0, reports_for_the_next(20.0)), (1.0, cut_machines(9.0)), (8.0, crash_leader), (16.0, crash_leader)], 50.0),
+        [(0.0, reports_for_the_next(20.0)), (1.0, cut_machines(9.0)), (8.0, crash_leader), (16.0, crash_leader)],
+        50.0,
+    ),
     "the store is slow while users cancel and ask": (
-        [(0.0, slow_store(50.0, 1.2)), (1.0, close_looks(60.0)), (5.0, cancel_now(3)), (20.0, cancel_now(3))], 70.0),
+        [(0.0, slow_store(50.0, 1.2)), (1.0, close_looks(60.0)), (5.0, cancel_now(3)), (20.0, cancel_now(3))],
+        70.0,
+    ),
     "the store is slow, then refuses the leader, then all": (
-        [(0.0, slow_store(10.0, 1.2)), (4.0, refused_then(12.0)), (4.4, cancel_now(4)), (5.6, outage(34.0)),
-         (0.0, close_looks(60.0))], 70.0),
+        [
+            (0.0, slow_store(10.0, 1.2)),
+            (4.0, refused_then(12.0)),
+            (4.4, cancel_now(4)),
+            (5.6, outage(34.0)),
+            (0.0, close_looks(60.0)),
+        ],
+        70.0,
+    ),
     "teams at their limits, machines hang, the leader changes": (
-        [(0.0, full_teams), (12.0, hang_all(10.0)), (12.5, cancel_now(5)), (13.0, crash_leader)], 60.0),
+        [(0.0, full_teams), (12.0, hang_all(10.0)), (12.5, cancel_now(5)), (13.0, crash_leader)],
+        60.0,
+    ),
     "teams at their limits, machines cut off, the leader changes": (
-        [(0.0, full_teams), (12.0, cut_machines(20.0, 2)), (12.5, crash_leader), (12.7, cancel_now(6))], 70.0),
+        [(0.0, full_teams), (12.0, cut_machines(20.0, 2)), (12.5, crash_leader), (12.7, cancel_now(6))],
+        70.0,
+    ),
     "a zone with workers and controllers is cut off": (
-        [(0.0, zone_cut(25.0)), (3.0, cancel_now(4)), (20.0, cancel_now(2))], 70.0),
-    "leaders change ten times": ([(0.0, hand_over(10, 4.0)), (1.0, cancel_now(2)), (9.0, cancel_now(2)),
-                                  (18.0, cancel_now(3))], 80.0),
-    "leaders change inside an outage": ([(0.0, outage(20.0)), (1.0, hand_over(5, 4.0)), (19.0, hand_over(5, 1.0)),
-                                         (19.5, cancel_now(4))], 70.0),
-    "leaders change within tenths of a second": ([(0.0, hand_over(12, 0.7)), (0.5, cancel_now(3)),
-                                                  (3.0, close_looks(20.0)), (4.0, cancel_now(3))], 60.0),
+        [(0.0, zone_cut(25.0)), (3.0, cancel_now(4)), (20.0, cancel_now(2))],
+        70.0,
+    ),
+    "leaders change ten times": (
+        [(0.0, hand_over(10, 4.0)), (1.0, cancel_now(2)), (9.0, cancel_now(2)), (18.0, cancel_now(3))],
+        80.0,
+    ),
+    "leaders change inside an outage": (
+        [(0.0, outage(20.0)), (1.0, hand_over(5, 4.0)), (19.0, hand_over(5, 1.0)), (19.5, cancel_now(4))],
+        70.0,
+    ),
+    "leaders change within tenths of a second": (
+        [(0.0, hand_over(12, 0.7)), (0.5, cancel_now(3)), (3.0, close_looks(20.0)), (4.0, cancel_now(3))],
+        60.0,
+    ),
     "an old report reaches all as a new leader begins": (
-        [(0.0, reports_for_the_next(30.0)), (6.0, refused_then(20.0)), (6.5, silence("mute", 6.0)),
-         (20.0, hang_all(8.0)), (21.0, crash_leader)], 60.0),
+        [
+            (0.0, reports_for_the_next(30.0)),
+            (6.0, refused_then(20.0)),
+            (6.5, silence("mute", 6.0)),
+            (20.0, hang_all(8.0)),
+            (21.0, crash_leader),
+        ],
+        60.0,
+    ),
     "a leader alone with its workers, cancellations elsewhere": (
-        [(0.0, leader_alone(40.0)), (2.0, cancel_now(4)), (10.0, cancel_now(3))], 80.0),
+        [(0.0, leader_alone(40.0)), (2.0, cancel_now(4)), (10.0, cancel_now(3))],
+        80.0,
+    ),
     "only the answer is lost while others read": (
-        [(0.0, late_writes(40.0, 0.3, at_once=True)), (0.0, close_looks(40.0)), (8.0, cancel_now(4))], 70.0),
-    "close looks at everything": ([(0.0, close_looks(60.0)), (5.0, full_teams), (9.0, cancel_now(5)),
-                                   (10.0, crash_leader)], 70.0),
+        [(0.0, late_writes(40.0, 0.3, at_once=True)), (0.0, close_looks(40.0)), (8.0, cancel_now(4))],
+        70.0,
+    ),
+    "close looks at everything": (
+        [(0.0, close_looks(60.0)), (5.0, full_teams), (9.0, cancel_now(5)), (10.0, crash_leader)],
+        70.0,
+    ),
     "jobs bound to zones lose machines": ([(0.0, zone_jobs), (20.0, machines_die), (26.0, machines_die)], 50.0),
     "jobs bound to zones, a zone cut off": (
-        [(0.0, zone_jobs), (18.0, zone_cut(15.0, "b")), (22.0, machines_die)], 60.0),
-    "a command or its answer is held up": ([(0.0, held_commands(40.0)), (3.0, cancel_now(4)), (12.0, full_teams),
-                                            (20.0, crash_leader), (22.0, cancel_now(4))], 70.0),
-    "a cancellation meets the end of the last task": ([(0.0, cancel_at_end), (0.0, close_looks(60.0)),
-                                                       (2.0, full_teams)], 70.0),
+        [(0.0, zone_jobs), (18.0, zone_cut(15.0, "b")), (22.0, machines_die)],
+        60.0,
+    ),
+    "a command or its answer is held up": (
+        [
+            (0.0, held_commands(40.0)),
+            (3.0, cancel_now(4)),
+            (12.0, full_teams),
+            (20.0, crash_leader),
+            (22.0, cancel_now(4)),
+        ],
+        70.0,
+    ),
+    "a cancellation meets the end of the last task": (
+        [(0.0, cancel_at_end), (0.0, close_looks(60.0)), (2.0, full_teams)],
+        70.0,
+    ),
     "one-task jobs four a second": ([(0.0, small_jobs), (30.0, crash_leader)], 80.0),
     "at the limit, machines can't be asked, a cancellation, a new leader": (
-        [(0.0, full_teams), (14.0, silence("deaf", 15.0)), (15.0, crash_leader), (15.3, cancel_now(5)),
-         (24.0, crash_leader)], 70.0),
+        [
+            (0.0, full_teams),
+            (14.0, silence("deaf", 15.0)),
+            (15.0, crash_leader),
+            (15.3, cancel_now(5)),
+            (24.0, crash_leader),
+        ],
+        70.0,
+    ),
     "boots within two seconds while writes lag, the leader ends": (
-        [(0.0, boots(40.0, 0.0, 0.0, 1.2)), (0.5, late_writes(30.0, 0.3)), (1.0, full_teams), (3.5, crash_leader),
-         (8.0, crash_leader), (12.0, machines_die)], 70.0),
-    "boots that are late or never end": ([(0.0, boots(60.0, 0.25, 0.25, 0.0)), (1.0, full_teams),
-                                          (10.0, machines_die)], 90.0),
-    "transactions carried out late": ([(0.0, late_writes(40.0, 0.25)), (3.0, full_teams), (8.0, cancel_now(3)),
-                                       (16.0, crash_leader), (24.0, cancel_now(3))], 80.0),
-    "transactions carried out late, zones": ([(0.0, zone_jobs), (0.2, late_writes(40.0, 0.3)), (8.0, machines_die),
-                                              (20.0, cancel_now(3)), (20.0, close_looks(30.0))], 80.0),
+        [
+            (0.0, boots(40.0, 0.0, 0.0, 1.2)),
+            (0.5, late_writes(30.0, 0.3)),
+            (1.0, full_teams),
+            (3.5, crash_leader),
+            (8.0, crash_leader),
+            (12.0, machines_die),
+        ],
+        70.0,
+    ),
+    "boots that are late or never end": (
+        [(0.0, boots(60.0, 0.25, 0.25, 0.0)), (1.0, full_teams), (10.0, machines_die)],
+        90.0,
+    ),
+    "transactions carried out late": (
+        [
+            (0.0, late_writes(40.0, 0.25)),
+            (3.0, full_teams),
+            (8.0, cancel_now(3)),
+            (16.0, crash_leader),
+            (24.0, cancel_now(3)),
+        ],
+        80.0,
+    ),
+    "transactions carried out late, zones": (
+        [
+            (0.0, zone_jobs),
+            (0.2, late_writes(40.0, 0.3)),
+            (8.0, machines_die),
+            (20.0, cancel_now(3)),
+            (20.0, close_looks(30.0)),
+        ],
+        80.0,
+    ),
     "a leader ends while machines can't be reached": (
-        [(0.0, cut_machines(14.0, 2)), (1.0, crash_leader), (20.0, silence("deaf", 14.0)), (21.0, crash_leader)], 60.0),
+        [(0.0, cut_machines(14.0, 2)), (1.0, crash_leader), (20.0, silence("deaf", 14.0)), (21.0, crash_leader)],
+        60.0,
+    ),
     "an old report after newer ones, from an earlier session": (
-        [(0.0, lambda world: setattr(world, "copies", 0.3)), (4.0, hang_all(14.0)), (10.0, crash_leader),
-         (30.0, lambda world: setattr(world, "copies", 0.0))], 80.0),
+        [
+            (0.0, lambda world: setattr(world, "copies", 0.3)),
+            (4.0, hang_all(14.0)),
+            (10.0, crash_leader),
+            (30.0, lambda world: setattr(world, "copies", 0.0)),
+        ],
+        80.0,
+    ),
     "all end and one returns": (
-        [(0.0, one_returns), (8.0, one_returns), (8.4, cancel_now(3)), (12.0, crash_leader)], 60.0),
+        [(0.0, one_returns), (8.0, one_returns), (8.4, cancel_now(3)), (12.0, crash_leader)],
+        60.0,
+    ),
     "machines mute while commands reach them": (
-        [(0.0, silence("mute", 18.0)), (2.0, cancel_now(4)), (6.0, crash_leader)], 60.0),
+        [(0.0, silence("mute", 18.0)), (2.0, cancel_now(4)), (6.0, crash_leader)],
+        60.0,
+    ),
     "jobs cancelled while the work changes hands": (
-        [(0.0, crash_leader), *((0.2 + 0.35 * n, cancel_now(1)) for n in range(9)), (2.0, close_looks(20.0))], 50.0),
-    "odd requests in a hand-over": ([(0.0, odd_requests), (1.0, hand_over(3, 2.0)), (2.0, odd_requests),
-                                     (5.0, odd_requests)], 40.0),
+        [(0.0, crash_leader), *((0.2 + 0.35 * n, cancel_now(1)) for n in range(9)), (2.0, close_looks(20.0))],
+        50.0,
+    ),
+    "odd requests in a hand-over": (
+        [(0.0, odd_requests), (1.0, hand_over(3, 2.0)), (2.0, odd_requests), (5.0, odd_requests)],
+        40.0,
+    ),
     "many questions, an outage between": ([(0.0, many_questions), (20.0, outage(8.0)), (30.0, cancel_now(3))], 70.0),
-    "hangs within the lease meet a cancellation": ([(0.0, cancel_now(6, hang_s=9.0)), (3.0, crash_leader),
-                                                    (20.0, cancel_now(6, hang_s=16.0))], 60.0),
+    "hangs within the lease meet a cancellation": (
+        [(0.0, cancel_now(6, hang_s=9.0)), (3.0, crash_leader), (20.0, cancel_now(6, hang_s=16.0))],
+        60.0,
+    ),
 }
 
 
@@ -436,6 +559,7 @@
 
 # -- close looks ---------------------------------------------------------------------------------------------------
 
+
 def test_many_questions_share_reads_and_leave_the_store_to_the_leader() -> None:
     """Two hundred questions a second are answered with a few reads; each read begins after its questions came."""
     world = World(seed=3, loss=0.0)
@@ -490,6 +614,7 @@
 
 # -- old reports and a new leader ------------------------------------------------------------------------------------
 
+
 def test_an_old_report_does_not_shorten_the_wait_for_a_former_leader() -> None:
     """It comes first, is answered, and shows nothing: its worker may hear the former leader for a grace still."""
     world = World(seed=8, loss=0.0)
@@ -573,11 +698,13 @@
     assert term.jobs[job].reload and not term.machines[machine.name].claimed
     told = world.deliver_report(leader, machine.report()).body["orders"]
     assert {order["piece"] for order in told if order["verb"] == "stop"} >= {
-        name for name, on in world.rules.where.items() if on is machine and name.startswith(job)}
+        name for name, on in world.rules.where.items() if on is machine and name.startswith(job)
+    }
 
 
 # -- the checker ---------------------------------------------------------------------------------------------------
 
+
 def told_world() -> World:
     world = World(seed=1)
     world.jobs["j-000001"] = world.job(1, pieces=1)
@@ -630,8 +757,15 @@
     assert len(rules.started_after) == 1
 
 
-@pytest.mark.parametrize("name", ["the store is slow while users cancel and ask", "leaders change ten times",
-                                  "close looks at everything", "jobs cancelled while the work changes hands"])
+@pytest.mark.parametrize(
+    "name",
+    [
+        "the store is slow while users cancel and ask",
+        "leaders change ten times",
+        "close looks at everything",
+        "jobs cancelled while the work changes hands",
+    ],
+)
 def test_nothing_starts_after_a_confirmed_cancellation(name: str) -> None:
     """Where no command is held up on its way, beyond what was on it."""
     world = play(name, 3)
--- a/tests/test_protocol.py
+++ b/tests/test_protocol.py
@@ -7,10 +7,26 @@
 from stileloft.protocol.messages import Malformed, job_from_wire, job_to_wire, parse_job
 
 GOOD = {
-    "nameId": "j-000412", "lane": "train", "crew": "vision", "shape": "array", "urgency": "urgent", "pieces": 16,
-    "vcpus": 8.0, "accelerators": 1.0, "memGb": 64.0, "bundle": "img-07", "imageGb": 6.2, "builds": ["g8"],
-    "yard": None, "together": True, "spread": False, "loaner": True, "guessS": 240.0, "snapshotS": 30.0,
-    "stashS": 4.0, "dueS": 900.0,
+    "nameId": "j-000412",
+    "lane": "train",
+    "crew": "vision",
+    "shape": "array",
+    "urgency": "urgent",
+    "pieces": 16,
+    "vcpus": 8.0,
+    "accelerators": 1.0,
+    "memGb": 64.0,
+    "bundle": "img-07",
+    "imageGb": 6.2,
+    "builds": ["g8"],
+    "yard": None,
+    "together": True,
+    "spread": False,
+    "loaner": True,
+    "guessS": 240.0,
+    "snapshotS": 30.0,
+    "stashS": 4.0,
+    "dueS": 900.0,
 }
 
 
@@ -27,10 +43,28 @@
 
 @pytest.mark.parametrize(
     "change",
-    [{"nameId": "x-1"}, {"nameId": "j-1/2"}, {"nameId": 7}, {"pieces": 0}, {"pieces": 100_001}, {"pieces": 1.5},
-     {"pieces": "3"}, {"vcpus": -1.0}, {"vcpus": math.nan}, {"memGb": math.inf}, {"guessS": -math.inf},
-     {"urgency": "now"}, {"shape": "ring"}, {"builds": "g8"}, {"builds": [1]}, {"together": "yes"}, {"crew": ""},
-     {"crew": None}, {"dueS": math.nan}, {"bundle": "x" * 201}],
+    [
+        {"nameId": "x-1"},
+        {"nameId": "j-1/2"},
+        {"nameId": 7},
+        {"pieces": 0},
+        {"pieces": 100_001},
+        {"pieces": 1.5},
+        {"pieces": "3"},
+        {"vcpus": -1.0},
+        {"vcpus": math.nan},
+        {"memGb": math.inf},
+        {"guessS": -math.inf},
+        {"urgency": "now"},
+        {"shape": "ring"},
+        {"builds": "g8"},
+        {"builds": [1]},
+        {"together": "yes"},
+        {"crew": ""},
+        {"crew": None},
+        {"dueS": math.nan},
+        {"bundle": "x" * 201},
+    ],
 )
 def test_bad_fields_are_refused(change: dict) -> None:
     with pytest.raises(Malformed):
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -32,8 +32,9 @@
     """Runs until all users know how their jobs ended."""
     end = world.now + seconds
     wanted = [job for job in world.jobs if job not in world.rules.impossible]
-    while world.now < end and not (wanted and world.now > world.rules.troubled_until
-                                   and all(world.rules.is_final(job) for job in wanted)):
+    while world.now < end and not (
+        wanted and world.now > world.rules.troubled_until and all(world.rules.is_final(job) for job in wanted)
+    ):
         world.run(5.0)
         world.rules.check_cancelled()
         world.rules.check_known()
@@ -148,6 +149,7 @@
 
 def deaf_machines(seconds: float) -> Callable[[World], None]:
     """Their reports arrive, but answers and commands don't reach them."""
+
     def start(world: World) -> None:
         for machine in [m for m in world.cloud.machines.values() if m.up][:2]:
             world.deaf[machine.name] = world.now + seconds
@@ -170,8 +172,12 @@
     """The leader and half of the machines on one side, all the rest on the other; nothing can be returned."""
     name = world.leader() or "node-0"
     inside = [name, *(m.name for m in world.cloud.machines.values() if m.zone == "a")]
-    outside = ["state", "cloud", *(n for n in world.names if n != name),
-               *(m.name for m in world.cloud.machines.values() if m.zone != "a")]
+    outside = [
+        "state",
+        "cloud",
+        *(n for n in world.names if n != name),
+        *(m.name for m in world.cloud.machines.values() if m.zone != "a"),
+    ]
     for one in inside:
         for other in outside:
             world.cut(one, other, 55.0, hold=True)
@@ -346,8 +352,16 @@
     world = World(seed=18, loss=0.0)
     world.cloud.most = 2
     for number in range(130):
-        urgent = world.job(1000 + number, lane="quick", urgency="urgent", vcpus=4.0, pieces=8, guessS=12.0,
-                           crew=("core", "edge")[number % 2], builds=["large"])
+        urgent = world.job(
+            1000 + number,
+            lane="quick",
+            urgency="urgent",
+            vcpus=4.0,
+            pieces=8,
+            guessS=12.0,
+            crew=("core", "edge")[number % 2],
+            builds=["large"],
+        )
         world.clock.callLater(20.0 + 3.0 * number, world.submit, urgent)
     for number in range(jobs):
         lane, pieces, cpus = (("wide", 3, 16.0), ("batch", 6, 3.0))[number % 2]
@@ -417,8 +431,7 @@
     # All its reports go to the leader, as often as a worker without answers can send them.
     world.deaf[name] = world.now + 11.0
     for seconds in (5.0, 10.0):
-        world.clock.callLater(seconds, lambda: world.deliver_report(
-            world.leader(), world.every_machine[name].report()))
+        world.clock.callLater(seconds, lambda: world.deliver_report(world.leader(), world.every_machine[name].report()))
     world.run(10.5)
     assert world.now - machine.heard_at < term.fleet.quiet_s and not term._ready(machine, world.now)
     world.run(8.0)
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -33,20 +33,23 @@
     assert parse("colour = 1\n" + text).deployment.teams[0].name == "core"
 
 
-@pytest.mark.parametrize("old, new, field", [
-    ('member = "node-0"', "", "member"),
-    ("lease_s = 12.0", 'lease_s = "long"', "lease_s"),
-    ("lease_s = 12.0", "lease_s = 0.0", "lease_s"),
-    ("txn_ops = 12", "txn_ops = 0", "txn_ops"),
-    ("gang_wait_s = 20.0", "gang_wait_s = 0.0", "gang_wait_s"),
-    ("gang_peer_s = 3.0", 'gang_peer_s = "soon"', "gang_peer_s"),
-    ("txn_ops = 12", "txn_ops = 12\nnext.txn_ops = 1", r"next\.txn_ops"),
-    ("txn_ops = 12", "txn_ops = 12\nnext.value_kb = -1.0", r"next\.value_kb"),
-    ('listen = "10.0.0.0:8080"', 'listen = "here"', "listen"),
-    ("cpus_max = 48.0", "cpus_max = 1.0", "core"),
-    ('name = "edge"', 'name = "core"', "twice"),
-    ("size = 3", "size = ", "TOML"),
-])
+@pytest.mark.parametrize(
+    "old, new, field",
+    [
+        ('member = "node-0"', "", "member"),
+        ("lease_s = 12.0", 'lease_s = "long"', "lease_s"),
+        ("lease_s = 12.0", "lease_s = 0.0", "lease_s"),
+        ("txn_ops = 12", "txn_ops = 0", "txn_ops"),
+        ("gang_wait_s = 20.0", "gang_wait_s = 0.0", "gang_wait_s"),
+        ("gang_peer_s = 3.0", 'gang_peer_s = "soon"', "gang_peer_s"),
+        ("txn_ops = 12", "txn_ops = 12\nnext.txn_ops = 1", r"next\.txn_ops"),
+        ("txn_ops = 12", "txn_ops = 12\nnext.value_kb = -1.0", r"next\.value_kb"),
+        ('listen = "10.0.0.0:8080"', 'listen = "here"', "listen"),
+        ("cpus_max = 48.0", "cpus_max = 1.0", "core"),
+        ('name = "edge"', 'name = "core"', "twice"),
+        ("size = 3", "size = ", "TOML"),
+    ],
+)
 def test_wrong_settings_name_the_field(text: str, old: str, new: str, field: str) -> None:
     assert old in text
     with pytest.raises(SettingsError, match=field):
@@ -251,8 +254,19 @@
     world.run(10)
     name = world.leader()
     node = world.nodes[name]
-    report = msgspec.convert({"host": "n-1", "endpoint": "1:1", "build": "small", "yard": "a", "stint": 1, "tick": 1,
-                              "baton": node.election.token + 1, "pieces": []}, messages.Report)
+    report = msgspec.convert(
+        {
+            "host": "n-1",
+            "endpoint": "1:1",
+            "build": "small",
+            "yard": "a",
+            "stint": 1,
+            "tick": 1,
+            "baton": node.election.token + 1,
+            "pieces": [],
+        },
+        messages.Report,
+    )
     assert node.report(report).status == 421
     assert not node.election.leading
 
--- a/tests/test_size.py
+++ b/tests/test_size.py
@@ -61,8 +61,15 @@
             machine.boot()
     for number in range(JOBS):
         # Small in processors, for the team's limit; two to a machine by memory.
-        body = world.job(number, pieces=TASKS, vcpus=0.04, memGb=16.0, guessS=8.0, bundle=f"img-{number % 5}",
-                         crew=("core", "edge")[number % 2])
+        body = world.job(
+            number,
+            pieces=TASKS,
+            vcpus=0.04,
+            memGb=16.0,
+            guessS=8.0,
+            bundle=f"img-{number % 5}",
+            crew=("core", "edge")[number % 2],
+        )
         world.clock.callLater(10.0 + 1.0 * number, world.submit, body)
     world.run(60)
     assert world.rules.broken == []
@@ -89,9 +96,11 @@
 
     def settings(self, name: str) -> str:
         text = super().settings(name)
-        for old, new in (("max_sockets = 200", f"max_sockets = {self.SOCKETS}"),
-                         ("write_rps = 60.0", f"write_rps = {self.WRITE_RPS}"),
-                         ("\nrps = 8.0", f"\nrps = {self.CLOUD_RPS}")):
+        for old, new in (
+            ("max_sockets = 200", f"max_sockets = {self.SOCKETS}"),
+            ("write_rps = 60.0", f"write_rps = {self.WRITE_RPS}"),
+            ("\nrps = 8.0", f"\nrps = {self.CLOUD_RPS}"),
+        ):
             assert old in text
             text = text.replace(old, new)
         return text
@@ -126,8 +135,15 @@
     monkeypatch.setattr(world.cloud, "handle", count_asked)
     monkeypatch.setattr(world.state, "commit", count_changes)
     for number in range(40):
-        body = world.job(number, pieces=30, vcpus=0.03, memGb=24.0, guessS=12.0, bundle=f"img-{number % 5}",
-                         crew=("core", "edge")[number % 2])
+        body = world.job(
+            number,
+            pieces=30,
+            vcpus=0.03,
+            memGb=24.0,
+            guessS=12.0,
+            bundle=f"img-{number % 5}",
+            crew=("core", "edge")[number % 2],
+        )
         world.clock.callLater(5.0 + 0.1 * number, world.submit, body)
 
     def lose_half() -> None:
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -42,9 +42,13 @@
                         job.load_chunk(number, chunk, 1)
             job.recount()
             found[job.id] = {
-                "spec": version.messages.job_to_wire(job.spec), "done": job.done, "size": job.size,
-                "free": job.free_tasks(10_000), "attempts": {str(n): c.attempt for n, c in sorted(job.chunks.items())},
-                "placed": sorted([p.index, p.attempt, p.machine, p.zone, p.spot] for p in job.placements())}
+                "spec": version.messages.job_to_wire(job.spec),
+                "done": job.done,
+                "size": job.size,
+                "free": job.free_tasks(10_000),
+                "attempts": {str(n): c.attempt for n, c in sorted(job.chunks.items())},
+                "placed": sorted([p.index, p.attempt, p.machine, p.zone, p.spot] for p in job.placements()),
+            }
     return found
 
 
@@ -63,8 +67,9 @@
     world.run(48)
     items = {key: value for key, (value, _, _) in sorted(world.state.items.items())}
     views = [msgspec.to_builtins(node.view()) for node in world.nodes.values()]
-    STORED.write_text(json.dumps({"items": items, "contents": contents(version, items, 16.0), "views": views},
-                                 indent=1) + "\n")
+    STORED.write_text(
+        json.dumps({"items": items, "contents": contents(version, items, 16.0), "views": views}, indent=1) + "\n"
+    )
 
 
 def test_what_production_stored_and_told_is_read() -> None:
@@ -228,7 +233,11 @@
 def test_limits_are_the_least_known_and_go_down_when_refused() -> None:
     state = parse(World(1, coming=COMING).settings("node-0")).deployment.state
     assert (state.least().txn_ops, state.least().value_bytes, state.least().write_rps, state.least().rps) == (
-        4, 2048, 45.0, 200.0)
+        4,
+        2048,
+        45.0,
+        200.0,
+    )
     limits = Limits(State(100.0, 50.0, 4.0, 12))
     limits.refused(["small"] * 8, 10)
     assert (limits.ops, limits.value_bytes) == (5, 4096)
@@ -240,8 +249,21 @@
 
 
 def chunk_of(placed: int, done: int = 0, name: str = "n-000123") -> tuple[Job, Chunk]:
-    spec = job_from_wire({"nameId": "j-1", "lane": "batch", "crew": "core", "shape": "array", "urgency": "standard",
-                          "pieces": 300, "vcpus": 1.0, "memGb": 1.0, "bundle": "img", "imageGb": 1.0, "guessS": 1.0})
+    spec = job_from_wire(
+        {
+            "nameId": "j-1",
+            "lane": "batch",
+            "crew": "core",
+            "shape": "array",
+            "urgency": "standard",
+            "pieces": 300,
+            "vcpus": 1.0,
+            "memGb": 1.0,
+            "bundle": "img",
+            "imageGb": 1.0,
+            "guessS": 1.0,
+        }
+    )
     job = Job(spec, 0.0, 256)
     chunk = job.chunk_of(0)
     chunk.attempt, chunk.done = 999, set(range(0, 2 * done, 2))
@@ -250,19 +272,26 @@
     return job, chunk
 
 
-@pytest.mark.parametrize("placed, done, name", [
-    (0, 0, "n"), (10, 0, "n"), (91, 0, "n"), (120, 60, "n"), (90, 0, "é" * 20)])
+@pytest.mark.parametrize(
+    "placed, done, name", [(0, 0, "n"), (10, 0, "n"), (91, 0, "n"), (120, 60, "n"), (90, 0, "é" * 20)]
+)
 def test_a_chunk_in_pieces_is_the_same_chunk(placed: int, done: int, name: str) -> None:
     job, chunk = chunk_of(placed, done, name)
     values = chunk.records(job.spec, job.size, 2048)
     assert all(records.size_of(value) <= 2048 for value in values) and (len(values) == 1 or placed > 30)
     again = Job(job.spec, 0.0, 256)
-    again.load_chunks([(records.part_key("j-1", 0, part), json.loads(json.dumps(value)), part + 5)
-                       for part, value in enumerate(values)])
+    again.load_chunks(
+        [
+            (records.part_key("j-1", 0, part), json.loads(json.dumps(value)), part + 5)
+            for part, value in enumerate(values)
+        ]
+    )
     again.recount()
     assert again.chunks[0].done == chunk.done and again.chunks[0].attempt == 999
     assert [(p.index, p.attempt, p.machine) for p in again.placements()] == [
-        (p.index, p.attempt, p.machine) for p in job.placements()]
+        (p.index, p.attempt, p.machine) for p in job.placements()
+    ]
     assert {part: version for part, (version, _) in again.chunks[0].parts.items()} == {
-        part: part + 5 for part in range(1, len(values))}
+        part: part + 5 for part in range(1, len(values))
+    }
     assert all(p.state != ENDED for p in again.placements())
--- a/tests/versions.py
+++ b/tests/versions.py
@@ -31,8 +31,14 @@
     def module(name: str) -> Any:
         return importlib.import_module(f"{package}.{name}")
 
-    return Version(module("coordination.node").Node, module("settings").parse, module("protocol.messages"),
-                   module("transport.client"), module("bookkeeping.model"), module("bookkeeping.records"))
+    return Version(
+        module("coordination.node").Node,
+        module("settings").parse,
+        module("protocol.messages"),
+        module("transport.client"),
+        module("bookkeeping.model"),
+        module("bookkeeping.records"),
+    )
 
 
 NEW = _version("stileloft")
