--- a/stileloft/coordination/admission.py
+++ b/stileloft/coordination/admission.py
@@ -9,7 +9,16 @@
 from stileloft.bookkeeping import records
 from stileloft.bookkeeping.model import active_record, fits_type
 from stileloft.protocol.messages import JobSpec, MachineType, state_answer
-from stileloft.protocol.state import PAGE, Budget, Conflict, StateClient, Throttled, TooLarge, Unavailable, Unknown
+from stileloft.protocol.state import (
+    PAGE,
+    Budget,
+    ConflictError,
+    StateClient,
+    ThrottledError,
+    TooLargeError,
+    UnavailableError,
+    UnknownOutcomeError,
+)
 from stileloft.settings import Team
 from stileloft.transport.clock import Clock
 
@@ -30,7 +39,7 @@
     chunk_size: int
 
 
-class NotDecidable(Exception):
+class RetryLaterError(Exception):
     """The request cannot be taken now; the user is to come back."""
 
     def __init__(self, reason: str, retry_after_s: float = 1.0) -> None:
@@ -38,7 +47,7 @@
         self.retry_after_s = retry_after_s
 
 
-class Impossible(Exception):
+class InfeasibleJobError(Exception):
     """The job can never run; the text says why."""
 
 
@@ -101,27 +110,27 @@
         if known is not None:
             return False, known
         if not self._catalog.types:
-            raise NotDecidable("the machine types are not known yet")
+            raise RetryLaterError("the machine types are not known yet")
         reason = why_impossible(spec, self._teams, self._catalog.types, self._value_bytes)
         if reason is not None:
             # A known job is told its state, whatever has changed since it was accepted.
             known = await self.status(spec.id)
             if known is not None:
                 return False, known
-            raise Impossible(reason)
+            raise InfeasibleJobError(reason)
         self._spend(self._writes, 1.0)
         active, final = records.active_key(spec.id), records.final_key(spec.id)
         value = active_record(spec, self._wall(), self._catalog.chunk_size if self._catalog.format >= 1 else None)
         try:
             await self._state.commit({active: 0, final: 0}, {active: value}, [])
-        except Conflict:
+        except ConflictError:
             known = await self.status(spec.id)
             if known is None:
-                raise NotDecidable("the job's record is changing") from None
+                raise RetryLaterError("the job's record is changing") from None
             return False, known
-        except TooLarge:
-            raise Impossible("its description is too long to be stored") from None
-        except (Unavailable, Unknown) as error:
+        except TooLargeError:
+            raise InfeasibleJobError("its description is too long to be stored") from None
+        except (UnavailableError, UnknownOutcomeError) as error:
             raise self._failed(error, self._writes, 1.0) from None
         log.info("job %s accepted: %d tasks of class %s for %s", spec.id, spec.tasks, spec.job_class, spec.team)
         return True, state_answer(spec.id, "queued")
@@ -144,7 +153,7 @@
                 done, running = value["c"]
                 return state_answer(job, "running" if running else "queued", done, running)
             return await self._ended(job)
-        except (Unavailable, Unknown) as error:
+        except (UnavailableError, UnknownOutcomeError) as error:
             raise self._failed(error, self._reads, 1.0) from None
 
     def _read_together(self) -> defer.Deferred:
@@ -197,23 +206,23 @@
                 record = records.final_record("cancelled", 0)
                 try:
                     await self._state.commit({active: found[1], final: 0}, {final: record}, [active])
-                except Conflict:
+                except ConflictError:
                     continue
                 log.info("job %s cancelled", job)
                 return self._keep_final(job, record)
-        except (Unavailable, Unknown) as error:
+        except (UnavailableError, UnknownOutcomeError) as error:
             raise self._failed(error, self._writes, 2.0) from None
-        raise NotDecidable("the job's record keeps changing")
+        raise RetryLaterError("the job's record keeps changing")
 
     @staticmethod
-    def _failed(error: Exception, budget: Budget, amount: float) -> NotDecidable:
+    def _failed(error: Exception, budget: Budget, amount: float) -> RetryLaterError:
         # Otherwise the repeats during an outage would leave nothing for those after it.
         # What was refused because there was too much of it counts: else the repeats starve the leader.
-        if isinstance(error, Unavailable) and not isinstance(error, Throttled):
+        if isinstance(error, UnavailableError) and not isinstance(error, ThrottledError):
             budget.give_back(amount)
-        return NotDecidable(f"state service: {error}")
+        return RetryLaterError(f"state service: {error}")
 
     @staticmethod
     def _spend(budget: Budget, amount: float) -> None:
         if not budget.take(amount):
-            raise NotDecidable("too many requests", 1.0)
+            raise RetryLaterError("too many requests", 1.0)
--- a/stileloft/coordination/dispatch.py
+++ b/stileloft/coordination/dispatch.py
@@ -11,7 +11,7 @@
 from stileloft.coordination.fleet import UNANSWERED_S
 from stileloft.protocol import messages
 from stileloft.protocol.messages import BUSY, EXITED, NO_ROOM, RUNNING, UNKNOWN, WAITING, Report, TaskReport
-from stileloft.protocol.workers import NotDelivered, Uncertain
+from stileloft.protocol.workers import NotDeliveredError, UncertainDeliveryError
 
 if TYPE_CHECKING:
     from stileloft.coordination.leader import Term
@@ -315,9 +315,9 @@
                 executed, report = await term.workers.command(machine.address, term.token, session, commands)
             finally:
                 self.claims -= claim
-        except (NotDelivered, Uncertain) as error:
+        except (NotDeliveredError, UncertainDeliveryError) as error:
             machine.sending = False
-            if isinstance(error, Uncertain) and starts:
+            if isinstance(error, UncertainDeliveryError) and starts:
                 machine.uncertain_session = session
             machine.send_failures += 1
             machine.retry_at = term.clock.seconds() + RETRY * self.report_s * min(4, machine.send_failures)
--- a/stileloft/coordination/election.py
+++ b/stileloft/coordination/election.py
@@ -7,7 +7,14 @@
 from twisted.internet import defer
 
 from stileloft.bookkeeping import records
-from stileloft.protocol.state import Compacted, Conflict, LeaseGone, StateClient, Unavailable, Unknown
+from stileloft.protocol.state import (
+    CompactedError,
+    ConflictError,
+    LeaseExpiredError,
+    StateClient,
+    UnavailableError,
+    UnknownOutcomeError,
+)
 
 log = logging.getLogger(__name__)
 
@@ -72,7 +79,7 @@
     async def _end(self, lease: int) -> None:
         try:
             await self._state.end_lease(lease)
-        except (Unavailable, Unknown):
+        except (UnavailableError, UnknownOutcomeError):
             pass  # it ends by itself
 
     async def run(self) -> None:
@@ -83,7 +90,7 @@
                     await self._seek()
                 else:
                     await self._keep()
-            except (Unavailable, Unknown, Compacted) as error:
+            except (UnavailableError, UnknownOutcomeError, CompactedError) as error:
                 log.debug("election: %s", error)
                 await self._sleep(self.life_s / 8)
             except Exception:
@@ -125,10 +132,10 @@
             token = await self._state.commit(
                 {records.LEADER: 0}, {records.LEADER: {"member": self._member, "nonce": self._nonce}}, [], lease
             )
-        except Conflict:
+        except ConflictError:
             await self._end(lease)
             return
-        except LeaseGone:
+        except LeaseExpiredError:
             return
         self._lease = lease
         self._confirm(sent)
@@ -146,7 +153,7 @@
         sent = self._clock.seconds()
         try:
             await self._state.renew(self._lease, self.life_s / 3)
-        except LeaseGone:
+        except LeaseExpiredError:
             self.step_down("the lease has ended")
             return
         if self.token is not None:
--- a/stileloft/coordination/fleet.py
+++ b/stileloft/coordination/fleet.py
@@ -9,9 +9,9 @@
 from stileloft.bookkeeping.model import BOUND, Machine, Placement
 from stileloft.coordination.election import DRIFT
 from stileloft.coordination.scaling import Offer, Plan
-from stileloft.protocol.cloud import RELEASE_LIMIT, CloudTrouble, NoCapacity
+from stileloft.protocol.cloud import RELEASE_LIMIT, CloudError, NoCapacityError
 from stileloft.protocol.messages import ListedMachine
-from stileloft.protocol.state import Conflict, TooLarge, Unavailable, Unknown
+from stileloft.protocol.state import ConflictError, TooLargeError, UnavailableError, UnknownOutcomeError
 
 if TYPE_CHECKING:
     from stileloft.coordination.leader import Term
@@ -85,7 +85,7 @@
                     with term.lock:
                         self.take_list(listed)
                     term.poke()
-            except CloudTrouble as error:
+            except CloudError as error:
                 log.debug("machine list: %s", error)
             except Exception:
                 log.exception("machine list")
@@ -238,7 +238,7 @@
             batch = list(self.returning.values())[:RELEASE_LIMIT]
             try:
                 await term.cloud.release([machine.id for machine in batch])
-            except CloudTrouble as error:
+            except CloudError as error:
                 log.debug("returning %d machines: %s", len(batch), error)
                 await term.sleep(1.0)
                 now = term.clock.seconds()
@@ -301,10 +301,10 @@
                 if len(machines) < count:
                     self.refused[offer] = term.clock.seconds() + refused_s
                 break
-            except NoCapacity:
+            except NoCapacityError:
                 self.refused[offer] = term.clock.seconds() + refused_s
                 break
-            except CloudTrouble as error:
+            except CloudError as error:
                 # The same name again: if the first was carried out, nothing more is rented.
                 log.info("renting %s: %s", request, error)
                 await term.sleep(1.0 + tried)
@@ -343,10 +343,10 @@
         self.rented_slots[slot] = now + self.listed_s
         try:
             await term.state.commit({records.LEADER: term.token}, {records.rented_key(slot): whole}, [])
-        except TooLarge:
+        except TooLargeError:
             term.limits.refused([whole], 1)
             await self._store_rental(offer, machines)
-        except (Conflict, Unavailable, Unknown) as error:
+        except (ConflictError, UnavailableError, UnknownOutcomeError) as error:
             log.debug("recording a rental: %s", error)
 
     # -- images ---------------------------------------------------------------------
@@ -388,10 +388,10 @@
             puts = {records.IMAGES + m.id: self._recorded_images(m) for m in changed}
             try:
                 await term.state.commit({records.LEADER: term.token}, puts, [records.IMAGES + m for m in dropped])
-            except TooLarge:
+            except TooLargeError:
                 term.limits.refused(puts.values(), count)
                 continue
-            except (Conflict, Unavailable, Unknown) as error:
+            except (ConflictError, UnavailableError, UnknownOutcomeError) as error:
                 log.debug("recording images: %s", error)
                 continue
             for machine in changed:
--- a/stileloft/coordination/leader.py
+++ b/stileloft/coordination/leader.py
@@ -41,7 +41,7 @@
     zone_allowed,
 )
 from stileloft.protocol.messages import EXITED, JobSpec, MachineType, Report, orders
-from stileloft.protocol.state import Compacted, Conflict, Unavailable, Unknown
+from stileloft.protocol.state import CompactedError, ConflictError, UnavailableError, UnknownOutcomeError
 
 if TYPE_CHECKING:
     from stileloft.coordination import node as nodes
@@ -216,7 +216,7 @@
             try:
                 await self._load()
                 break
-            except (Unavailable, Unknown) as error:
+            except (UnavailableError, UnknownOutcomeError) as error:
                 log.info("taking over: %s", error)
                 await self.sleep(0.3)
             except Exception:
@@ -298,9 +298,9 @@
                 if events:
                     # Under a burst each change would else be an answer and a request of its own.
                     await self.sleep(self.watch_s * GATHER_WATCH)
-            except Compacted:
+            except CompactedError:
                 await self._resync()
-            except (Unavailable, Unknown) as error:
+            except (UnavailableError, UnknownOutcomeError) as error:
                 log.debug("watch: %s", error)
                 await self.sleep(0.2)
             except Exception:
@@ -377,9 +377,9 @@
                     await self.state.commit(
                         {records.LEADER: self.token, records.FORMAT: 0}, {records.FORMAT: value}, []
                     )
-                except Conflict:
+                except ConflictError:
                     pass  # a former leader did it, or another leads: the node reads it
-                except (Unavailable, Unknown) as error:
+                except (UnavailableError, UnknownOutcomeError) as error:
                     log.debug("changing the format: %s", error)
                 else:
                     self.node.take_format(records.NEWEST_FORMAT)
--- a/stileloft/coordination/ledger.py
+++ b/stileloft/coordination/ledger.py
@@ -15,7 +15,7 @@
 from stileloft.bookkeeping import records
 from stileloft.bookkeeping.model import BOUND, ENDED, PLANNED, Job, Placement
 from stileloft.coordination import gangs
-from stileloft.protocol.state import Conflict, TooLarge, Unavailable, Unknown
+from stileloft.protocol.state import ConflictError, TooLargeError, UnavailableError, UnknownOutcomeError
 from stileloft.settings import State
 
 if TYPE_CHECKING:
@@ -316,7 +316,7 @@
                 revision = await term.state.commit(guards, puts, deletes)
             else:
                 revision = 0  # only forgotten chunks that were never stored
-        except Conflict as conflict:
+        except ConflictError as conflict:
             self.in_flight -= 1
             if records.LEADER in conflict.failed:
                 term.depose("the leader key has another version")
@@ -329,7 +329,7 @@
                     self._again(entry)
             self.flush()
             return
-        except TooLarge as error:
+        except TooLargeError as error:
             # The limits have become lower than was announced. Unchanged it would be refused for ever.
             self.in_flight -= 1
             term.limits.refused(puts.values(), len(puts) + len(deletes))
@@ -344,7 +344,7 @@
             self._refused_until = term.clock.seconds() + REFUSED_S
             self.later(REFUSED_S)
             return
-        except Unavailable as error:
+        except UnavailableError as error:
             self.in_flight -= 1
             log.info("commit not executed: %s", error)
             for entry in batch:
@@ -353,7 +353,7 @@
             self._refused_until = term.clock.seconds() + REFUSED_S
             self.later(REFUSED_S)
             return
-        except Unknown as error:
+        except UnknownOutcomeError as error:
             self.in_flight -= 1
             log.info("commit without an answer: %s", error)
             for entry in batch:
@@ -453,12 +453,12 @@
                     phase = final[0]["phase"] if final else "cancelled"
                 chunks, _ = await term.state.scan(f"{records.TASKS}{job.id}/")
                 break
-            except Conflict as conflict:
+            except ConflictError as conflict:
                 if records.LEADER in conflict.failed:
                     term.depose("the leader key has another version")
                     return
                 await term.sleep(REFUSED_S / 3)  # it was cancelled, or what got no answer is executed by now
-            except (Unavailable, Unknown) as error:
+            except (UnavailableError, UnknownOutcomeError) as error:
                 log.debug("reading %s again: %s", job.id, error)
                 await term.sleep(pause_s)
                 pause_s = min(2 * pause_s, RELOAD_MOST_S)
--- a/stileloft/coordination/node.py
+++ b/stileloft/coordination/node.py
@@ -12,23 +12,30 @@
 from twisted.internet import defer, threads
 
 from stileloft.bookkeeping import records
-from stileloft.coordination.admission import Admission, Impossible, NotDecidable
+from stileloft.coordination.admission import Admission, InfeasibleJobError, RetryLaterError
 from stileloft.coordination.election import DRIFT, Election
 from stileloft.coordination.fleet import MARGIN_LEASES
 from stileloft.coordination.leader import Term
 from stileloft.protocol import messages
 from stileloft.protocol.admin import (
     AdminResources,
-    BadSettings,
-    NotNow,
+    InvalidSettingsError,
     OperatorSettings,
-    OutOfDate,
+    StaleVersionError,
+    TemporarilyUnavailableError,
     parse_operator_settings,
 )
-from stileloft.protocol.cloud import CloudClient, CloudTrouble
+from stileloft.protocol.cloud import CloudClient, CloudError
 from stileloft.protocol.messages import MachineType, Report
 from stileloft.protocol.peers import PeerClient, PeerView
-from stileloft.protocol.state import Budget, Compacted, Conflict, StateClient, Unavailable, Unknown
+from stileloft.protocol.state import (
+    Budget,
+    CompactedError,
+    ConflictError,
+    StateClient,
+    UnavailableError,
+    UnknownOutcomeError,
+)
 from stileloft.protocol.users import REPORT_PATH, PublicResources
 from stileloft.protocol.workers import WorkerClient
 from stileloft.settings import Settings, Workers, split_address
@@ -148,7 +155,7 @@
         defer.ensureDeferred(self.election.run())
 
     def serve(self) -> None:
-        public = PublicResources(self.admission, self.report, self.healthy, NotDecidable, Impossible)
+        public = PublicResources(self.admission, self.report, self.healthy, RetryLaterError, InfeasibleJobError)
         self._listen(
             self.settings.listen,
             Router(
@@ -178,7 +185,7 @@
             try:
                 self.types = {kind.name: kind for kind in await self.cloud.machine_types()}
                 pause = 30.0
-            except CloudTrouble as error:
+            except CloudError as error:
                 log.debug("machine types: %s", error)
             except Exception:
                 log.exception("machine types")
@@ -190,7 +197,7 @@
             try:
                 self.operator_settings, version = await self.read_settings()
                 await self.state.watch(records.SETTINGS, version or 1, SETTINGS_WATCH_S)
-            except (NotNow, Unavailable, Unknown, Compacted):
+            except (TemporarilyUnavailableError, UnavailableError, UnknownOutcomeError, CompactedError):
                 await self.sleep(SETTINGS_WATCH_S / 10)
             except Exception:
                 log.exception("operators' settings")
@@ -205,7 +212,7 @@
                     self.take_format(found[0]["format"])
                 else:
                     await self.state.watch(records.FORMAT, self.state.revision, SETTINGS_WATCH_S)
-            except (Unavailable, Unknown, Compacted):
+            except (UnavailableError, UnknownOutcomeError, CompactedError):
                 await self.sleep(SETTINGS_WATCH_S / 10)
             except Exception:
                 log.exception("format of the records")
@@ -235,7 +242,7 @@
                 if not self.served():
                     await self.state.get(records.LEADER)
                 self.refused, failing_since = False, None
-            except (Unavailable, Unknown):
+            except (UnavailableError, UnknownOutcomeError):
                 now = self.reactor.seconds()
                 failing_since = now if failing_since is None else failing_since
                 views = await self.peers.views()
@@ -345,13 +352,13 @@
         """The operators' settings in the store, and their version (0: never set)."""
         try:
             found = await self.state.get(records.SETTINGS)
-        except (Unavailable, Unknown) as error:
-            raise NotNow(f"state service: {error}") from None
+        except (UnavailableError, UnknownOutcomeError) as error:
+            raise TemporarilyUnavailableError(f"state service: {error}") from None
         if found is None:
             return OperatorSettings(), 0
         try:
             return parse_operator_settings(found[0]), found[1]
-        except BadSettings as error:
+        except InvalidSettingsError as error:
             # Written by another version of the program: its own defaults are safer than a guess.
             log.error("the stored settings cannot be used: %s", error)
             return OperatorSettings(), found[1]
@@ -361,10 +368,10 @@
             changed = await self.state.commit(
                 {records.SETTINGS: version}, {records.SETTINGS: msgspec.to_builtins(settings)}, []
             )
-        except Conflict:
-            raise OutOfDate from None
-        except (Unavailable, Unknown) as error:
-            raise NotNow(f"state service: {error}") from None
+        except ConflictError:
+            raise StaleVersionError from None
+        except (UnavailableError, UnknownOutcomeError) as error:
+            raise TemporarilyUnavailableError(f"state service: {error}") from None
         log.info("operators' settings changed: %s", settings)
         self.operator_settings = settings
         return changed
--- a/stileloft/protocol/admin.py
+++ b/stileloft/protocol/admin.py
@@ -28,15 +28,15 @@
     """No rental makes the fleet larger than this."""
 
 
-class BadSettings(Exception):
+class InvalidSettingsError(Exception):
     """Settings that cannot be taken; the text names the field."""
 
 
-class OutOfDate(Exception):
+class StaleVersionError(Exception):
     """The settings have been changed since the version that the change was made from."""
 
 
-class NotNow(Exception):
+class TemporarilyUnavailableError(Exception):
     """The store cannot be asked or written now."""
 
 
@@ -44,10 +44,10 @@
     try:
         settings = msgspec.convert(value, OperatorSettings)
     except msgspec.ValidationError as error:
-        raise BadSettings(str(error).replace("$.", "")) from None
+        raise InvalidSettingsError(str(error).replace("$.", "")) from None
     for name in ("headroom", "headroom_wait", "keep_idle_boots"):
         if not math.isfinite(getattr(settings, name)):
-            raise BadSettings(f"{name} is not finite")
+            raise InvalidSettingsError(f"{name} is not finite")
     return settings
 
 
@@ -82,7 +82,7 @@
     async def show(self, body: Any, arguments: dict[str, str]) -> Answer:
         try:
             settings, version = await self._node.read_settings()
-        except NotNow as error:
+        except TemporarilyUnavailableError as error:
             return retry_later(503, str(error), 1)
         return Answer(200, {"version": version, "settings": msgspec.to_builtins(settings)})
 
@@ -93,10 +93,10 @@
         try:
             settings = parse_operator_settings(body.get("settings"))
             version = await self._node.change_settings(settings, body["version"])
-        except BadSettings as error:
+        except InvalidSettingsError as error:
             return Answer(400, {"error": f"settings: {error}"})
-        except OutOfDate:
+        except StaleVersionError:
             return Answer(409, {"error": "the settings have been changed since; read them again"})
-        except NotNow as error:
+        except TemporarilyUnavailableError as error:
             return retry_later(503, str(error), 1)
         return Answer(200, {"version": version, "settings": msgspec.to_builtins(settings)})
--- a/stileloft/protocol/cloud.py
+++ b/stileloft/protocol/cloud.py
@@ -4,17 +4,17 @@
 
 from stileloft.protocol.messages import ListedMachine, MachineType
 from stileloft.protocol.state import Budget
-from stileloft.transport.client import Client, Refused, Unanswered
+from stileloft.transport.client import Client, ConnectionFailedError, NoResponseError
 
 RENT_LIMIT = 50
 RELEASE_LIMIT = 100
 
 
-class CloudTrouble(Exception):
+class CloudError(Exception):
     """The call failed; a rental or a release may have been carried out all the same."""
 
 
-class NoCapacity(Exception):
+class NoCapacityError(Exception):
     """Nothing of this type, zone and kind is to be had now."""
 
 
@@ -27,16 +27,16 @@
 
     async def _ask(self, method: str, path: str, body: object = None):
         if not self._budget.take():
-            raise CloudTrouble("own budget spent")
+            raise CloudError("own budget spent")
         try:
             return await self._client.request(method, self._address, path, body, self._timeout_s)
-        except (Refused, Unanswered) as error:
-            raise CloudTrouble(str(error)) from None
+        except (ConnectionFailedError, NoResponseError) as error:
+            raise CloudError(str(error)) from None
 
     async def machine_types(self) -> list[MachineType]:
         reply = await self._ask("GET", "/machine_types")
         if reply.status != 200:
-            raise CloudTrouble(f"status {reply.status}")
+            raise CloudError(f"status {reply.status}")
         return msgspec.convert(reply.body["builds"], list[MachineType])
 
     async def machines(self) -> list[ListedMachine]:
@@ -46,7 +46,7 @@
             since = f"since={after}&" if after else ""
             reply = await self._ask("GET", f"/hosts?{since}limit=500")
             if reply.status != 200:
-                raise CloudTrouble(f"status {reply.status}")
+                raise CloudError(f"status {reply.status}")
             page = msgspec.convert(reply.body["hosts"], list[ListedMachine])
             found += page
             if not reply.body.get("more") or not page:
@@ -59,10 +59,10 @@
         if reply.status == 200:
             return list(reply.body["hosts"])
         if reply.status == 503 and isinstance(reply.body, dict) and reply.body.get("error") == "no capacity":
-            raise NoCapacity
-        raise CloudTrouble(f"status {reply.status}: {reply.body}")
+            raise NoCapacityError
+        raise CloudError(f"status {reply.status}: {reply.body}")
 
     async def release(self, machines: list[str]) -> None:
         reply = await self._ask("POST", "/hosts/release", {"hosts": machines[:RELEASE_LIMIT]})
         if reply.status != 200:
-            raise CloudTrouble(f"status {reply.status}")
+            raise CloudError(f"status {reply.status}")
--- a/stileloft/protocol/messages.py
+++ b/stileloft/protocol/messages.py
@@ -91,21 +91,21 @@
         return PRIORITIES[self.priority]
 
 
-class Malformed(Exception):
+class MalformedError(Exception):
     """A body that breaks the protocol; the text is a short reason."""
 
 
 def parse_job(body: Any) -> JobSpec:
     if not isinstance(body, dict):
-        raise Malformed("the body must be a map")
+        raise MalformedError("the body must be a map")
     for name in NEVER_NULL:
         # Stored records leave out what is zero or false; a user has to say it.
         if body.get(name) is None:
-            raise Malformed(f"{name} is missing")
+            raise MalformedError(f"{name} is missing")
     try:
         spec = msgspec.convert(body, JobSpec)
     except msgspec.ValidationError as error:
-        raise Malformed(str(error)) from None
+        raise MalformedError(str(error)) from None
     amounts = (
         spec.cpus,
         spec.gpus,
@@ -118,9 +118,9 @@
     )
     # msgspec's bounds let infinities and not-a-number through.
     if not all(amount is None or math.isfinite(amount) for amount in amounts):
-        raise Malformed("an amount is not finite")
+        raise MalformedError("an amount is not finite")
     if spec.cpus == 0 and not spec.gpus:
-        raise Malformed("a task must take processors or accelerators")
+        raise MalformedError("a task must take processors or accelerators")
     return spec
 
 
@@ -171,7 +171,7 @@
     try:
         return msgspec.convert(body, Report)
     except msgspec.ValidationError as error:
-        raise Malformed(str(error)) from None
+        raise MalformedError(str(error)) from None
 
 
 class MachineType(Struct, frozen=True):
--- a/stileloft/protocol/peers.py
+++ b/stileloft/protocol/peers.py
@@ -6,7 +6,7 @@
 from msgspec import Struct
 from twisted.internet import defer
 
-from stileloft.transport.client import Client, Refused, Unanswered
+from stileloft.transport.client import Client, ConnectionFailedError, NoResponseError
 
 
 class PeerView(Struct):
@@ -36,5 +36,5 @@
         try:
             reply: Any = await self._client.request("GET", address, "/view", None, self._timeout_s)
             return msgspec.convert(reply.body, PeerView) if reply.status == 200 else None
-        except (Refused, Unanswered, msgspec.ValidationError):
+        except (ConnectionFailedError, NoResponseError, msgspec.ValidationError):
             return None
--- a/stileloft/protocol/state.py
+++ b/stileloft/protocol/state.py
@@ -2,14 +2,14 @@
 
 from typing import Any
 
-from stileloft.transport.client import Client, Refused, Unanswered
+from stileloft.transport.client import Client, ConnectionFailedError, NoResponseError
 from stileloft.transport.clock import Clock
 
 # Items that the service gives in one answer.
 PAGE = 1000
 
 
-class Unavailable(Exception):
+class UnavailableError(Exception):
     """The request was not executed (503, 429, no connection, or our own budget is spent)."""
 
     def __init__(self, reason: str, retry_after_s: float = 1.0) -> None:
@@ -17,15 +17,15 @@
         self.retry_after_s = retry_after_s
 
 
-class Throttled(Unavailable):
+class ThrottledError(UnavailableError):
     """The request was not executed, as there were too many (429): repeating it soon makes that worse."""
 
 
-class Unknown(Exception):
+class UnknownOutcomeError(Exception):
     """The request may have been executed, or may still be."""
 
 
-class Conflict(Exception):
+class ConflictError(Exception):
     """A guard failed, so nothing was written."""
 
     def __init__(self, failed: list[str]) -> None:
@@ -33,15 +33,15 @@
         self.failed = failed
 
 
-class LeaseGone(Exception):
+class LeaseExpiredError(Exception):
     """The lease has ended."""
 
 
-class TooLarge(Unavailable):
+class TooLargeError(UnavailableError):
     """A value or a transaction is beyond the service's limits: it will never be executed as it is."""
 
 
-class Compacted(Exception):
+class CompactedError(Exception):
     """The watch's revision is too old; the keys have to be read again."""
 
 
@@ -96,14 +96,14 @@
     async def _ask(self, method: str, path: str, body: Any = None, timeout_s: float | None = None) -> Any:
         try:
             reply = await self._client.request(method, self._address, path, body, timeout_s or self._timeout_s)
-        except Refused as error:
-            raise Unavailable(f"no connection: {error}") from None
-        except Unanswered as error:
-            raise Unknown(str(error)) from None
+        except ConnectionFailedError as error:
+            raise UnavailableError(f"no connection: {error}") from None
+        except NoResponseError as error:
+            raise UnknownOutcomeError(str(error)) from None
         if reply.status == 429:
-            raise Throttled("status 429")
+            raise ThrottledError("status 429")
         if reply.status == 503:
-            raise Unavailable(f"status {reply.status}")
+            raise UnavailableError(f"status {reply.status}")
         self.served_at = self._clock.seconds()
         return reply
 
@@ -114,7 +114,7 @@
             self.revision = (reply.body or {}).get("epoch", self.revision)
             return None
         if reply.status != 200:
-            raise Unavailable(f"status {reply.status}")
+            raise UnavailableError(f"status {reply.status}")
         return reply.body["v"], reply.body["stamp"], reply.body.get("hold")
 
     async def scan(self, prefix: str, limit: int = PAGE) -> tuple[list[tuple[str, Any, int]], int]:
@@ -126,7 +126,7 @@
             since = f"&since={after}" if after else ""
             reply = await self._ask("GET", f"/kv?under={prefix}{since}&limit={limit}")
             if reply.status != 200:
-                raise Unavailable(f"status {reply.status}")
+                raise UnavailableError(f"status {reply.status}")
             if revision is None:
                 # Changes during later pages are seen again by a watch from here.
                 revision = reply.body["epoch"]
@@ -152,25 +152,25 @@
         if reply.status == 200:
             return reply.body["epoch"]
         if reply.status == 409:
-            raise Conflict(list(reply.body.get("failed", [])))
+            raise ConflictError(list(reply.body.get("failed", [])))
         if reply.status == 400 and lease is not None:
-            raise LeaseGone
+            raise LeaseExpiredError
         if reply.status in (400, 413):
-            raise TooLarge(f"status {reply.status}: {reply.body}")
-        raise Unavailable(f"status {reply.status}: {reply.body}")
+            raise TooLargeError(f"status {reply.status}: {reply.body}")
+        raise UnavailableError(f"status {reply.status}: {reply.body}")
 
     async def new_lease(self, life_s: float) -> int:
         reply = await self._ask("POST", "/holds", {"lifeMs": int(life_s * 1000)}, life_s / 2)
         if reply.status != 200:
-            raise Unavailable(f"status {reply.status}")
+            raise UnavailableError(f"status {reply.status}")
         return reply.body["hold"]
 
     async def renew(self, lease: int, timeout_s: float) -> None:
         reply = await self._ask("POST", f"/holds/{lease}/extend", {}, timeout_s)
         if reply.status == 404:
-            raise LeaseGone
+            raise LeaseExpiredError
         if reply.status != 200:
-            raise Unavailable(f"status {reply.status}")
+            raise UnavailableError(f"status {reply.status}")
 
     async def end_lease(self, lease: int) -> None:
         await self._ask("DELETE", f"/holds/{lease}")
@@ -183,9 +183,9 @@
             timeout_s=wait_s + self._timeout_s,
         )
         if reply.status == 410:
-            raise Compacted
+            raise CompactedError
         if reply.status != 200:
-            raise Unavailable(f"status {reply.status}")
+            raise UnavailableError(f"status {reply.status}")
         events = []
         for event in reply.body["news"]:
             if "set" in event:
--- a/stileloft/protocol/users.py
+++ b/stileloft/protocol/users.py
@@ -5,7 +5,7 @@
 from collections.abc import Awaitable, Callable
 from typing import Any, Protocol
 
-from stileloft.protocol.messages import JOB_ID, JobSpec, Malformed, Report, parse_job, parse_report
+from stileloft.protocol.messages import JOB_ID, JobSpec, MalformedError, Report, parse_job, parse_report
 from stileloft.transport.server import Answer, Handler, retry_later
 
 log = logging.getLogger(__name__)
@@ -61,7 +61,7 @@
     def checkin(self, body: Any, arguments: dict[str, str]) -> Answer:
         try:
             report = parse_report(body)
-        except Malformed as error:
+        except MalformedError as error:
             return Answer(400, {"error": str(error)})
         return self._report(report)
 
@@ -82,7 +82,7 @@
     def submit(self, body: Any, arguments: dict[str, str]) -> Answer | Awaitable[Answer]:
         try:
             spec = parse_job(body)
-        except Malformed as error:
+        except MalformedError as error:
             return Answer(400, {"error": str(error)})
 
         async def asked() -> Answer:
--- a/stileloft/protocol/workers.py
+++ b/stileloft/protocol/workers.py
@@ -2,15 +2,15 @@
 
 from typing import Any
 
-from stileloft.protocol.messages import Malformed, Report, orders, parse_report
-from stileloft.transport.client import Client, Refused, Unanswered
+from stileloft.protocol.messages import MalformedError, Report, orders, parse_report
+from stileloft.transport.client import Client, ConnectionFailedError, NoResponseError
 
 
-class NotDelivered(Exception):
+class NotDeliveredError(Exception):
     """The commands were certainly not executed."""
 
 
-class Uncertain(Exception):
+class UncertainDeliveryError(Exception):
     """The commands may have been executed, or may be later."""
 
 
@@ -27,13 +27,13 @@
         body["stint"] = session
         try:
             reply = await self._client.request("POST", address, "/do", body, self._timeout_s)
-        except Refused as error:
-            raise NotDelivered(str(error)) from None
-        except Unanswered as error:
-            raise Uncertain(str(error)) from None
+        except ConnectionFailedError as error:
+            raise NotDeliveredError(str(error)) from None
+        except NoResponseError as error:
+            raise UncertainDeliveryError(str(error)) from None
         if reply.status in (200, 409):
             try:
                 return reply.status == 200, parse_report(reply.body)
-            except Malformed as error:
-                raise Uncertain(f"unreadable report: {error}") from None
-        raise NotDelivered(f"status {reply.status}")
+            except MalformedError as error:
+                raise UncertainDeliveryError(f"unreadable report: {error}") from None
+        raise NotDeliveredError(f"status {reply.status}")
--- a/stileloft/transport/client.py
+++ b/stileloft/transport/client.py
@@ -13,11 +13,11 @@
 from stileloft.transport.clock import Clock
 
 
-class Refused(Exception):
+class ConnectionFailedError(Exception):
     """The request was certainly not executed: no connection was made."""
 
 
-class Unanswered(Exception):
+class NoResponseError(Exception):
     """No usable answer: the request may have been executed, or may be later."""
 
 
@@ -102,9 +102,9 @@
         try:
             response = await sent
         except (error.ConnectError, error.ConnectingCancelledError) as failure:
-            raise Refused(str(failure)) from None
+            raise ConnectionFailedError(str(failure)) from None
         except Exception as failure:
-            raise Unanswered(repr(failure)) from None
+            raise NoResponseError(repr(failure)) from None
         finally:
             if timer.active():
                 timer.cancel()
@@ -113,7 +113,7 @@
         try:
             data = await reading
         except Exception as failure:
-            raise Unanswered(repr(failure)) from None
+            raise NoResponseError(repr(failure)) from None
         finally:
             if timer.active():
                 timer.cancel()
@@ -122,4 +122,4 @@
         try:
             return Reply(response.code, self._decode(data))
         except Exception as failure:
-            raise Unanswered(f"unreadable body: {failure!r}") from None
+            raise NoResponseError(f"unreadable body: {failure!r}") from None
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -17,7 +17,7 @@
 from stileloft.bookkeeping.records import split_task
 from stileloft.coordination.node import Node
 from stileloft.protocol import messages
-from stileloft.transport.client import Refused, Reply, Unanswered
+from stileloft.transport.client import ConnectionFailedError, NoResponseError, Reply
 from tests.rules import Rules
 from tests.versions import NEW, Version
 
@@ -136,7 +136,7 @@
                 self.handle(caller, method, path, body)
             else:
                 world.clock.callLater(world.random.uniform(2.0, 12.0), self.handle, caller, method, path, body)
-            raise Unanswered("the answer is lost")
+            raise NoResponseError("the answer is lost")
         until, longest = self.slow
         if world.now >= until:
             return self.handle(caller, method, path, body)
@@ -375,7 +375,7 @@
 
     def command(self, body: Any) -> Reply:
         if self.hung:
-            raise Unanswered("hangs")
+            raise NoResponseError("hangs")
         self.lapse()
         if body["baton"] < self.token or body["stint"] != self.session:
             return Reply(409, self.report())
@@ -691,7 +691,7 @@
         target = {"10.9.0.1:1": "state", "10.9.0.2:1": "cloud"}.get(address, address.partition(":")[0])
         if address.endswith(":8081"):
             target = world.names[int(address.split(":")[0].split(".")[-1])]
-        client = world.versions[self.name].client
+        version = world.versions[self.name]
         if world.processes[self.name] != self.process:
             await defer.Deferred()  # the process is over: nothing goes on in it
         sent = messages.decode(messages.encode(body)) if body is not None else None
@@ -704,11 +704,11 @@
             if target in world.names:
                 peer = world.nodes[target]
                 if peer is None or world.now < world.peers_refuse:
-                    raise Refused("no process, or a filter")
+                    raise ConnectionFailedError("no process, or a filter")
                 return world.to_node(target, lambda: Reply(200, msgspec.to_builtins(peer.view())))
             machine = world.every_machine[target]
             if machine.gone or not machine.up:
-                raise Unanswered("silence")
+                raise NoResponseError("silence")
             return machine.command(sent)
 
         keep = self.keep()
@@ -718,12 +718,12 @@
         timer = world.clock.callLater(timeout_s, world.awake, self.name, waiting.cancel)
         try:
             reply = await waiting
-        except Refused as error:
-            raise client.Refused(str(error)) from None
-        except Unanswered as error:
-            raise client.Unanswered(str(error)) from None
+        except ConnectionFailedError as error:
+            raise version.connection_failed(str(error)) from None
+        except NoResponseError as error:
+            raise version.no_response(str(error)) from None
         except defer.CancelledError:
-            raise client.Unanswered("timeout") from None
+            raise version.no_response("timeout") from None
         finally:
             if timer.active():
                 timer.cancel()
@@ -944,7 +944,7 @@
         def later() -> None:
             try:
                 answered.callback(work())
-            except (Refused, Unanswered):
+            except (ConnectionFailedError, NoResponseError):
                 pass  # the connection was reset: nobody waits any more
 
         self.awake(name, later)
@@ -958,7 +958,7 @@
             self.for_next.append(body)
         node = self.nodes[name]
         if node is None:
-            raise Refused("no process")
+            raise ConnectionFailedError("no process")
         answer = node.report(self.versions[name].messages.parse_report(body))
         return Reply(answer.status, messages.decode(messages.encode(answer.body)))
 
@@ -1019,10 +1019,10 @@
                 return
             try:
                 result = work()
-            except Refused as error:
+            except ConnectionFailedError as error:
                 back(error)
                 return
-            except Unanswered:
+            except NoResponseError:
                 return
             if isinstance(result, defer.Deferred):
                 result.addCallback(back)
@@ -1032,7 +1032,7 @@
         def repeat() -> None:
             try:
                 work()
-            except (Refused, Unanswered):
+            except (ConnectionFailedError, NoResponseError):
                 pass
 
         cut = self.cut_now(pair)
--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -6,7 +6,7 @@
 
 from stileloft.coordination.leader import Term
 from stileloft.protocol import messages
-from stileloft.transport.client import Reply, Unanswered
+from stileloft.transport.client import NoResponseError, Reply
 from tests.rules import CANCEL_S
 from tests.standins import TYPES, World
 from tests.test_rules import crash_leader, finish, hang_machines, load
@@ -595,7 +595,7 @@
     def delayed(caller: str, method: str, path: str, body: object) -> object:
         if path == "/commit" and not late and any(w.get("set", "").startswith("tasks/") for w in body["writes"]):
             late.append((caller, method, path, body))
-            raise Unanswered("nothing comes back")
+            raise NoResponseError("nothing comes back")
         return handle(caller, method, path, body)
 
     world.state.handle = delayed  # type: ignore[method-assign]
--- a/tests/test_protocol.py
+++ b/tests/test_protocol.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from stileloft.protocol.messages import Malformed, job_from_wire, job_to_wire, parse_job
+from stileloft.protocol.messages import MalformedError, job_from_wire, job_to_wire, parse_job
 
 GOOD = {
     "nameId": "j-000412",
@@ -67,18 +67,18 @@
     ],
 )
 def test_bad_fields_are_refused(change: dict) -> None:
-    with pytest.raises(Malformed):
+    with pytest.raises(MalformedError):
         parse_job(GOOD | change)
 
 
 @pytest.mark.parametrize("field", [name for name in GOOD if name not in ("builds", "yard", "dueS")])
 def test_a_field_that_may_not_be_null_may_not_be_missing(field: str) -> None:
     for wrong in ({k: v for k, v in GOOD.items() if k != field}, GOOD | {field: None}):
-        with pytest.raises(Malformed, match=field):
+        with pytest.raises(MalformedError, match=field):
             parse_job(wrong)
 
 
 @pytest.mark.parametrize("body", [None, [], "job", 3])
 def test_only_a_map_is_a_job(body: object) -> None:
-    with pytest.raises(Malformed):
+    with pytest.raises(MalformedError):
         parse_job(body)
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from stileloft.coordination.admission import Admission, NotDecidable
+from stileloft.coordination.admission import Admission, RetryLaterError
 from stileloft.coordination.fleet import Fleet
 from stileloft.coordination.leader import Term
 from stileloft.coordination.node import blind_grace
@@ -407,7 +407,7 @@
 
     async def deaf(admission: Admission, job: str) -> dict | None:
         if job == "j-000001":
-            raise NotDecidable("busy")
+            raise RetryLaterError("busy")
         return await plain(admission, job)
 
     monkeypatch.setattr(Admission, "status", deaf)
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -13,7 +13,7 @@
 from stileloft.bookkeeping import records
 from stileloft.coordination.ledger import REFUSED_S
 from stileloft.protocol import messages
-from stileloft.protocol.admin import BadSettings, OperatorSettings, OutOfDate, parse_operator_settings
+from stileloft.protocol.admin import InvalidSettingsError, OperatorSettings, StaleVersionError, parse_operator_settings
 from stileloft.protocol.users import REPORT_PATH, PublicResources
 from stileloft.settings import SettingsError, parse
 from stileloft.transport.client import Reply
@@ -73,7 +73,7 @@
 def test_operator_settings_are_checked() -> None:
     assert parse_operator_settings({"headroom": 0.5}) == OperatorSettings(headroom=0.5)
     for wrong in ({"headrom": 1}, {"headroom": -1}, {"headroom": float("nan")}, {"max_machines": 1.5}, None, []):
-        with pytest.raises(BadSettings):
+        with pytest.raises(InvalidSettingsError):
             parse_operator_settings(wrong)
 
 
@@ -92,7 +92,7 @@
     version = ask(node.change_settings(OperatorSettings(headroom=3.0), 0))
     assert isinstance(version, int)
     late = ask(node.change_settings(OperatorSettings(headroom=4.0), 0))
-    assert late.type is OutOfDate
+    assert late.type is StaleVersionError
     world.run(1)
     assert {n.operator_settings.headroom for n in world.nodes.values()} == {3.0}
 
@@ -100,7 +100,7 @@
 # -- HTTP ----------------------------------------------------------------------------
 
 
-class NotNow(Exception):
+class TemporarilyUnavailableError(Exception):
     retry_after_s = 2.0
 
 
@@ -113,7 +113,7 @@
 
     async def submit(self, spec):
         if spec.id == "j-503":
-            raise NotNow("later")
+            raise TemporarilyUnavailableError("later")
         if spec.id == "j-422":
             raise Never("too large")
         return spec.id == "j-201", messages.state_answer(spec.id, "queued")
@@ -128,7 +128,9 @@
 
 
 def exchange(data: bytes, keep: Callable[[str], bool] = lambda path: True) -> tuple[int, dict[str, str], bytes]:
-    public = PublicResources(Service(), lambda report: Answer(421, {"steward": "node-1"}), lambda: True, NotNow, Never)
+    public = PublicResources(
+        Service(), lambda report: Answer(421, {"steward": "node-1"}), lambda: True, TemporarilyUnavailableError, Never
+    )
     site = make_site(Router(public.match, messages.encode, messages.decode, "application/cbor", keep), 60.0)
     channel = site.buildProtocol(None)
     transport = StringTransport()
--- a/tests/versions.py
+++ b/tests/versions.py
@@ -22,11 +22,18 @@
     Node: Any
     parse: Any
     messages: Any
-    client: Any
+    connection_failed: Any
+    """What its client raises when no connection is made, and when no response comes."""
+    no_response: Any
     model: Any
     records: Any
 
 
+def _exception(module: Any, name: str, name_in_production: str) -> Any:
+    """An exception of a version of the program, under the name that this version has for it."""
+    return getattr(module, name, None) or getattr(module, name_in_production)
+
+
 def _version(package: str) -> Version:
     def module(name: str) -> Any:
         return importlib.import_module(f"{package}.{name}")
@@ -35,7 +42,8 @@
         module("coordination.node").Node,
         module("settings").parse,
         module("protocol.messages"),
-        module("transport.client"),
+        _exception(module("transport.client"), "ConnectionFailedError", "Refused"),
+        _exception(module("transport.client"), "NoResponseError", "Unanswered"),
         module("bookkeeping.model"),
         module("bookkeeping.records"),
     )
