The leader's term in modules with one job each

Change: cluster (the picture), recovery, job_watch, lifecycle, rounds, snapshot_builder, workload and format_upgrade; what a team uses is counted in one place, in place of two. poke, touch, drop_job, job_over, cleared and carry_out have the field's names. Behaviour is unchanged: tests differ only by names and imports.

--- /dev/null
+++ b/stileloft/coordination/cluster.py
@@ -0,0 +1,74 @@
+"""The leader's picture of the cluster: jobs, machines, nominations, and what has to be written of them."""
+
+from collections.abc import Iterable
+
+from stileloft.bookkeeping.model import Job, Machine, TaskKey
+from stileloft.coordination.snapshot import Nomination, Usage
+
+
+class Cluster:
+    """Data only, without I/O; all access is under the term's lock."""
+
+    def __init__(self) -> None:
+        self.jobs: dict[str, Job] = {}
+        self.machines: dict[str, Machine] = {}
+        self.dirty: dict[str, None] = {}
+        """Jobs of which something may have to be written, in the order in which they changed."""
+        self.nominations: dict[TaskKey, Nomination] = {}
+        self.avoided: dict[tuple[str, str], float] = {}
+        """Pairs of job and machine that are not to be tried again, and until when."""
+
+    def mark_dirty(self, job: Job) -> None:
+        """Something of the job has to be written, and does not wait."""
+        job.dirty = job.pressing = True
+        self.dirty[job.id] = None
+
+    def dirty_jobs(self) -> list[Job]:
+        """Jobs of which something may have to be written."""
+        found = []
+        for job_id in list(self.dirty):
+            job = self.jobs.get(job_id)
+            if job is None:
+                self.dirty.pop(job_id, None)
+            else:
+                found.append(job)
+        return found
+
+    def is_over(self, job_id: str) -> bool:
+        """Whether nothing of the job may be started, as it has ended or is being read again."""
+        job = self.jobs.get(job_id)
+        return job is None or job.over is not None or job.reload
+
+    def stray_tasks(self) -> set[str]:
+        """Tasks that are on a machine where they are not to be: nowhere are they started meanwhile.
+
+        Asked of the machines each time. Kept beside them, an entry outlived its machine's session once,
+        and its task was never started again.
+        """
+        return {task for machine in self.machines.values() if machine.strays for task in machine.strays}
+
+    def usage(self, teams: Iterable[str]) -> dict[str, Usage]:
+        """What each team's tasks take, placed ones and strays."""
+        usage = {name: Usage() for name in teams}
+        for machine in self.machines.values():
+            for stray in machine.strays.values():
+                if stray.team in usage:
+                    usage[stray.team].add(stray.cpus, stray.gpus)
+        for job in self.jobs.values():
+            spec = job.spec
+            usage.setdefault(spec.team, Usage()).add(spec.cpus * job.placed, (spec.gpus or 0.0) * job.placed)
+        return usage
+
+    def expire_nominations(self, now: float) -> None:
+        """Gives up nominations that have lapsed, or whose machine is gone."""
+        for key in [k for k, n in self.nominations.items() if n.until < now or n.machine not in self.machines]:
+            del self.nominations[key]
+
+    def remove_job(self, job_id: str) -> None:
+        """Removes a job of which nothing is left."""
+        self.jobs.pop(job_id, None)
+        self.dirty.pop(job_id, None)
+        for key in [k for k in self.nominations if k[0] == job_id]:
+            del self.nominations[key]
+        for pair in [k for k in self.avoided if k[0] == job_id]:
+            del self.avoided[pair]
--- a/stileloft/coordination/dispatch.py
+++ b/stileloft/coordination/dispatch.py
@@ -58,7 +58,7 @@
             log.info(
                 "machine %s is up: %s in %s%s", machine.id, machine.type, machine.zone, ", spot" if machine.spot else ""
             )
-            term.poke()
+            term.request_round()
         new_session = report.session != machine.session
         new_session = report.session != machine.session
         machine.session, machine.seq = report.session, report.seq
@@ -72,7 +72,7 @@
             machine.came_at = now  # it reports by itself at once, having learned our token
         machine.reported = True
         if machine.trusted and not was_trusted:
-            term.poke()
+            term.request_round()
         if new_session:
             machine.uncertain_session = None
             machine.forgets.clear()
@@ -83,7 +83,7 @@
                 log.info("machine %s will be taken away in %.1f s", machine.id, report.notice_s)
                 machine.notice_until = now + report.notice_s
                 machine.draining = "taken away"
-                term.poke()
+                term.request_round()
         if machine.trusted and term.loaded:
             # Before the store was read, all of its tasks would look as if they were not to be there, and be stopped.
             self._take_tasks(machine, report.tasks, now)
@@ -106,7 +106,7 @@
             else:
                 strays[task.task] = self._stray(key[0], task)
         if machine.strays.keys() - strays.keys():
-            term.poke()
+            term.request_round()
         if strays.keys() != machine.strays.keys():
             machine.view = None
         for task_id in strays:
@@ -121,14 +121,14 @@
                 and placement.sent_session < machine.session
             ):
                 # Sessions kill their tasks when they end, and starts sent in one fail in the next.
-                term.end(placement, "its session is over")
+                term.tasks.end(placement, "its session is over")
             elif (
                 placement.state == BOUND
                 and placement.sent_session is None
                 and (machine.draining or placement.stop_grace is not None)
             ):
                 # The worker knows our token, so no older leader's start can be executed any more.
-                term.end(placement, "it was not started")
+                term.tasks.end(placement, "it was not started")
 
     def _stray(self, job_id: str, task: TaskReport) -> Stray:
         job = self.term.jobs.get(job_id)
@@ -155,28 +155,28 @@
                             log.info("job %s begins, %.1f s after acceptance", job.id, term.wall() - job.submitted)
                         job.begun = True
                         term.fleet.has_image(machine, job.spec.image)
-                        term.dirty[job.id] = None
+                        term.cluster.dirty[job.id] = None
                         term.ledger.later(0.25)
             return
         placement.seen = EXITED
         if task.why == "done":
-            term.completed(machine, placement, now)
+            term.tasks.completed(machine, placement, now)
             return
         if task.why == "error":
-            term.failed(machine, placement)
+            term.tasks.failed(machine, placement)
         elif task.why == NO_ROOM:
             log.info("task %s did not fit on %s", placement.task, machine.id)
-            term.avoid(placement, machine.id, 2 * self.report_s)
+            term.tasks.avoid(placement, machine.id, 2 * self.report_s)
         elif task.why == UNKNOWN:
             log.info("task %s is not known to %s", placement.task, machine.id)
-            term.delay(placement.job, self.report_s / 2)
+            term.tasks.delay(placement.job, self.report_s / 2)
         # Of a gang that lost a task, or did not get together, the whole comes again at once. That says nothing
         # against this machine.
         elif task.why == BUSY:
             # The other attempt is listed too, and is stopped as a stray; meanwhile go elsewhere.
             log.info("task %s is on %s with another attempt", placement.task, machine.id)
-            term.avoid(placement, machine.id, term.settings.workers.lease_s)
-        term.end(placement, task.why or "exited")
+            term.tasks.avoid(placement, machine.id, term.settings.workers.lease_s)
+        term.tasks.end(placement, task.why or "exited")
 
     def on_report(self, report: Report) -> dict[str, Any]:
         """Takes in a report that a worker sent, and answers it."""
@@ -216,7 +216,7 @@
     def _starts(self, machine: Machine) -> list[Placement]:
         """Placements whose task has to be started, or whose start has to be repeated."""
         term = self.term
-        if not term.confirmed() or not term.informed() or not machine.trusted or machine.releasing:
+        if not term.confirmed() or not term.watch.is_fresh() or not machine.trusted or machine.releasing:
             return []
         # A start without an answer may be executed at any later time. One that is to be stopped by
         # now is repeated too: only a task that was seen can be told to exit, and so be let go.
@@ -225,7 +225,7 @@
             for p in machine.placements.values()
             if p.state == BOUND
             and p.seen is None
-            and not term.is_over(p.job)
+            and not term.cluster.is_over(p.job)
             and (p.stop_grace is None or p.sent_session == machine.session)
         ]
         # None of a gang is started before all of it is known to be placed. One that is to be stopped is repeated.
@@ -240,7 +240,7 @@
             if placement.stop_grace is None or placement.state != BOUND:
                 continue
             command = messages.stop(placement.task, placement.attempt, placement.stop_grace)
-            if renewing and self.term.is_over(placement.job):
+            if renewing and self.term.cluster.is_over(placement.job):
                 # Whatever became of the stops before: the lease is renewed, so this answer has to carry one.
                 placement.stop_at = now
                 commands.append(command)
--- a/stileloft/coordination/fleet.py
+++ b/stileloft/coordination/fleet.py
@@ -84,7 +84,7 @@
                 if term.alive:
                     with term.lock:
                         self.take_list(listed)
-                    term.poke()
+                    term.request_round()
             except CloudError as error:
                 log.debug("machine list: %s", error)
             except Exception:
@@ -183,12 +183,12 @@
             return
         if self.session_over(machine, now) and machine.placements:
             for placement in list(machine.placements.values()):
-                term.end(placement, "its machine's lease is over")
+                term.tasks.end(placement, "its machine's lease is over")
         if now - heard > self.silent_s and not deaf:
             self.give_back(machine, f"it has been silent for {now - heard:.1f} s")
             return
         if machine.notice_until is not None:
-            term.wind_down(machine, now)
+            term.tasks.wind_down(machine, now)
         in_doubt = [p for p in machine.placements.values() if self._in_doubt(p, machine, now)]
         if in_doubt and machine.draining is None:
             # The job is over, so the start cannot be repeated to learn of it; only the machine's end settles it.
@@ -204,7 +204,7 @@
             placement.state == BOUND
             and placement.seen is None
             and placement.sent_session == machine.session
-            and self.term.is_over(placement.job)
+            and self.term.cluster.is_over(placement.job)
             and waited > self.lease_s
         )
 
@@ -246,14 +246,14 @@
                     for machine in self.returning.values():
                         if self.session_over(machine, now):
                             for placement in list(machine.placements.values()):
-                                term.end(placement, "its machine's lease is over")
+                                term.tasks.end(placement, "its machine's lease is over")
                 continue
             if not term.alive:
                 return
             with term.lock:
                 for machine in batch:
                     self._returned(machine)
-            term.poke()
+            term.request_round()
 
     def _returned(self, machine: Machine) -> None:
         """The cloud has confirmed that the machine and everything on it is gone."""
@@ -263,7 +263,7 @@
         while now - self.gone[oldest := next(iter(self.gone))] > GONE_LEASES * self.lease_s:
             del self.gone[oldest]
         for placement in list(machine.placements.values()):
-            term.end(placement, "its machine is gone")
+            term.tasks.end(placement, "its machine is gone")
         term.machines.pop(machine.id, None)
         if machine.images:
             self._images_dropped.add(machine.id)
@@ -274,7 +274,7 @@
         now = self.term.clock.seconds()
         return {offer for offer, until in self.refused.items() if until > now}
 
-    def carry_out(self, plan: Plan) -> None:
+    def apply(self, plan: Plan) -> None:
         for machine_id in plan.give_back:
             machine = self.term.machines.get(machine_id)
             if machine is not None and not machine.placements and not machine.strays:
@@ -322,7 +322,7 @@
             await self._store_rental(offer, machines)
         else:
             log.info("no %s to be had in %s%s", name, zone, ", spot" if spot else "")
-        term.poke()
+        term.request_round()
 
     async def _store_rental(self, offer: Offer, machines: list[str]) -> None:
         """Tells a successor of machines that the cloud's list may not show yet.
--- /dev/null
+++ b/stileloft/coordination/format_upgrade.py
@@ -0,0 +1,66 @@
+"""The change of the store's format, once all controllers read the new one."""
+
+import logging
+from typing import TYPE_CHECKING
+
+from stileloft.bookkeeping import records
+from stileloft.bookkeeping.model import Job
+from stileloft.protocol.state import ConflictError, UnavailableError, UnknownOutcomeError
+
+if TYPE_CHECKING:
+    from stileloft.coordination.leader import Term
+
+log = logging.getLogger(__name__)
+
+# How often the other controllers are asked which format they read, until all read the newest.
+FORMAT_S = 1.0
+
+
+class FormatUpgrade:
+    """Has the newest format written for good, and brings older records into it."""
+
+    def __init__(self, term: "Term") -> None:
+        self._term = term
+        self._cluster = term.cluster
+
+    async def run(self) -> None:
+        """Has the newest format written once all controllers have said, now, that they read it.
+
+        Each says so by itself; none is taken to do so because it is silent. A process that has not been
+        replaced yet says nothing of the kind, whatever it was before, so it holds the change back.
+        """
+        others = {peer.member for peer in self._term.node.settings.peers}
+        while self._term.alive and self._term.node.format < records.NEWEST_FORMAT:
+            members = {
+                view.member for view in await self._term.node.peers.views() if view.reads >= records.NEWEST_FORMAT
+            }
+            if members >= others and len(others) + 1 >= self._term.settings.size and self._term.confirmed():
+                value = {"format": records.NEWEST_FORMAT, "members": sorted({self._term.node.settings.member, *others})}
+                try:
+                    await self._term.state.commit(
+                        {records.LEADER: self._term.token, records.FORMAT: 0}, {records.FORMAT: value}, []
+                    )
+                except ConflictError:
+                    pass  # a former leader did it, or another leads: the node reads it
+                except (UnavailableError, UnknownOutcomeError) as error:
+                    log.debug("changing the format: %s", error)
+                else:
+                    self._term.node.take_format(records.NEWEST_FORMAT)
+            await self._term.sleep(FORMAT_S)
+
+    def format_changed(self) -> None:
+        """Records may be written in the newest format from now on."""
+        with self._term.lock:
+            for job in self._cluster.jobs.values():
+                job.most_placed = None
+                if not job.over and not job.size_stored:
+                    self._cluster.dirty[job.id] = None
+                self.split_large_records(job)
+        self._term.request_round()
+
+    def split_large_records(self, job: Job) -> None:
+        """Has records beyond the limit to come written in pieces, before an end or a cancellation needs it."""
+        for chunk in job.chunks.values():
+            if not chunk.parts and records.size_of(chunk.record(job.spec, job.size)) > self._term.limits.value_bytes:
+                chunk.dirty = True
+                self._cluster.mark_dirty(job)
--- /dev/null
+++ b/stileloft/coordination/job_watch.py
@@ -0,0 +1,118 @@
+"""The watch over the jobs' records: submissions, and cancellations by whichever node was asked."""
+
+import logging
+from typing import TYPE_CHECKING, Any
+
+from stileloft.bookkeeping import records
+from stileloft.bookkeeping.model import Job, job_from_record
+from stileloft.protocol.state import CompactedError, UnavailableError, UnknownOutcomeError
+
+if TYPE_CHECKING:
+    from stileloft.coordination.leader import Term
+
+log = logging.getLogger(__name__)
+
+# A watch waits for this part of the leader's lease: until it is answered, nothing shows that it still hears.
+WATCH_LIVES = 0.5
+# Nothing is started when we have heard nothing of cancellations for so many of these.
+FRESH_WATCHES = 4.0
+# After an answer with news the next watch begins this part of one later.
+GATHER_WATCH = 0.1
+# How soon it is looked again whether a job whose record is gone has no transaction under way any more.
+SETTLE_S = 0.25
+
+
+class JobWatch:
+    """Keeps the leader's jobs in step with the store, and knows how old that knowledge is."""
+
+    def __init__(self, term: "Term") -> None:
+        self._term = term
+        self._cluster = term.cluster
+        self.revision = 0
+        self.watch_s = term.node.election.life_s * WATCH_LIVES
+        self.informed_at = float("-inf")
+        """Until then we know of all cancellations: when we sent the newest question that the store answered."""
+        self._removed: dict[str, float] = {}
+        """Jobs removed from the picture, and when: the watch may not have come as far as that."""
+
+    def job_removed(self, job_id: str) -> None:
+        """Remembers a job that is over: the watch may still bring a record of it from before its end."""
+        self._removed[job_id] = self._term.clock.seconds()
+
+    def staleness_s(self) -> float:
+        """Seconds since we last knew of all cancellations; without end before the store was read."""
+        return self._term.clock.seconds() - self.informed_at
+
+    def is_fresh(self) -> bool:
+        """Whether we hear of cancellations, so that nothing is started of a job that is long over."""
+        return self.staleness_s() <= FRESH_WATCHES * self.watch_s
+
+    async def run(self) -> None:
+        while self._term.alive:
+            try:
+                asked_at = self._term.clock.seconds()
+                revision, events = await self._term.state.watch(records.ACTIVE, self.revision, self.watch_s)
+                if not self._term.alive:
+                    return
+                for key, value, version in events:
+                    self.on_change(key[len(records.ACTIVE) :], value, version)
+                self.revision, self.informed_at = revision, asked_at
+                self._forget_removed()
+                if events:
+                    # Under a burst each change would else be an answer and a request of its own.
+                    await self._term.sleep(self.watch_s * GATHER_WATCH)
+            except CompactedError:
+                await self._resync()
+            except (UnavailableError, UnknownOutcomeError) as error:
+                log.debug("watch: %s", error)
+                await self._term.sleep(0.2)
+            except Exception:
+                log.exception("watch")
+                await self._term.sleep(0.5)
+
+    async def _resync(self) -> None:
+        asked_at = self._term.clock.seconds()
+        active, revision = await self._term.state.scan(records.ACTIVE)
+        listed = set()
+        for key, value, version in active:
+            listed.add(key[len(records.ACTIVE) :])
+            self.on_change(key[len(records.ACTIVE) :], value, version)
+        for job in list(self._cluster.jobs.values()):
+            if job.id not in listed and job.version <= revision:
+                self.on_change(job.id, None, revision)
+        self.revision, self.informed_at = revision, asked_at
+
+    def on_change(self, job_id: str, value: Any, version: int) -> None:
+        """A job's record was written by somebody, perhaps by us."""
+        job = self._cluster.jobs.get(job_id)
+        if value is not None:
+            if job is None and job_id not in self._removed:
+                with self._term.lock:
+                    job = job_from_record(value, version, self._term.node.first_chunk_size)
+                    job.recount()
+                    self._term.adopt(job)
+                self._term.request_round()
+            return
+        if job is None or job.over:
+            return
+        # Gone from `active/`: cancelled by its user, or finished by a commit of ours whose answer is still on
+        # its way. In both cases nothing of it may run. What is being stored of it may take as long as an
+        # outage, so the stops don't wait for that; which of the two it was, the store tells then.
+        with self._term.lock:
+            # With no transaction under way it was none of ours, and we know all that the store holds of it.
+            self._term.tasks.close_job(job, "over" if job.busy else "cancelled")
+        self._settle(job)
+
+    def _settle(self, job: Job) -> None:
+        """Learns what the store holds of a job that is over, once no transaction about it is under way."""
+        if not self._term.alive or self._cluster.jobs.get(job.id) is not job or job.over != "over":
+            return
+        if job.busy:
+            self._term.clock.callLater(SETTLE_S, self._settle, job)
+        else:
+            self._term.ledger.start_reload(job)
+
+    def _forget_removed(self) -> None:
+        """What was asked of the store after a job was let go of brings no record of it any more."""
+        while self._removed and next(iter(self._removed.values())) < self.informed_at:
+            del self._removed[next(iter(self._removed))]
--- a/stileloft/coordination/ledger.py
+++ b/stileloft/coordination/ledger.py
@@ -222,7 +222,7 @@
             return
         with term.lock:
             waiting = []
-            for job in term.dirty_jobs():
+            for job in term.cluster.dirty_jobs():
                 if not job.dirty and now < job.looked_at + LOOK_S:
                     self.later(job.looked_at + LOOK_S - now)  # only its counts may have changed
                 elif job.gathering_since is not None and not job.pressing and now < job.gathering_since + GATHER_S:
@@ -252,7 +252,7 @@
                     if entry is None:
                         job.dirty = any(chunk.dirty for chunk in job.chunks.values())
                         if not job.dirty:
-                            term.dirty.pop(job.id, None)
+                            term.cluster.dirty.pop(job.id, None)
                             self._counts_later(job)
                         continue
                     entry.size = len(orjson.dumps([entry.puts, entry.guards]))
@@ -299,7 +299,7 @@
 
     def _counts_later(self, job: Job) -> None:
         if not job.over and (job.done, job.running()) != job.counts_stored:
-            self.term.dirty[job.id] = None
+            self.term.cluster.dirty[job.id] = None
             self.later(COUNTS_S / 2)
 
     async def _commit(self, batch: list[Entry]) -> None:
@@ -376,7 +376,7 @@
         for number in entry.written + entry.finished + entry.dropped:
             entry.job.chunks[number].dirty = True
         entry.job.dirty = entry.job.pressing = True
-        self.term.dirty[entry.job.id] = None
+        self.term.cluster.dirty[entry.job.id] = None
 
     def _committed(self, entry: Entry, revision: int) -> None:
         job, term = entry.job, self.term
@@ -393,7 +393,7 @@
                 job.done += 1
             if chunk.placements.get(placement.index) is placement:
                 job.remove(placement)
-            term.cleared(placement)
+            term.tasks.placement_cleared(placement)
         for number in entry.written:
             chunk = job.chunks[number]
             chunk.version, chunk.stored = revision, True
@@ -408,9 +408,9 @@
             del job.chunks[number]
         if entry.final:
             job.done = job.spec.tasks
-            term.job_over(job, "done")
+            term.tasks.close_job(job, "done")
             if not job.chunks:
-                term.drop_job(job)
+                term.remove_job(job)
             return
         if entry.active:
             job.size_stored = "n" in entry.puts[records.active_key(job.id)]
@@ -418,7 +418,7 @@
             job.counts_stored = entry.counts
             job.counts_at = now
         if job.over and not job.chunks:
-            term.drop_job(job)
+            term.remove_job(job)
 
     # -- learning what the store holds ------------------------------------------
 
@@ -474,19 +474,19 @@
             kept = {id(p) for p in job.placements()}
             for placement in before:
                 if id(placement) not in kept:
-                    term.cleared(placement)
+                    term.tasks.placement_cleared(placement)
             for placement in job.placements():
-                term.attach(placement)
+                term.tasks.attach(placement)
                 if placement.state == ENDED:
                     job.chunk_of(placement.index).dirty = True
             if any(chunk.dirty for chunk in job.chunks.values()):
-                term.touch(job)
+                term.cluster.mark_dirty(job)
             if phase is not None:
-                term.job_over(job, phase)
+                term.tasks.close_job(job, phase)
                 if not job.chunks:
-                    term.drop_job(job)
+                    term.remove_job(job)
             elif job.spec.is_gang:
-                term.review_gang(job)
+                term.tasks.review_gang(job)
         log.debug("read %s again: %s", job.id, phase or "active")
         self.flush()
-        term.poke()
+        term.request_round()
--- a/stileloft/coordination/node.py
+++ b/stileloft/coordination/node.py
@@ -223,7 +223,7 @@
             log.info("records are written in format %d from now on", number)
             self.format = number
             if self.term is not None:
-                self.term.format_changed()
+                self.term.upgrade.format_changed()
 
     def served(self) -> bool:
         """Whether the state service has executed a request of ours lately."""
@@ -380,7 +380,7 @@
 def blind_grace(workers: Workers, life_s: float) -> float:
     """How long a leader may answer reports without knowing that it still leads, or what users cancel.
 
-    The earliest cancellation that it may not know of is confirmed when it last knew of all (`Term.informed_at`).
+    The earliest cancellation that it may not know of is confirmed when it last knew of all (`JobWatch.informed_at`).
     A worker counts its lease from when it sent the report, which is before the answer. So what an answer keeps
     alive is gone after this grace and one lease, with what clocks and their checks may add; that must be within
     the time for a cancellation. A lease of the leader and a time-out of the state service are left as a reserve.
--- /dev/null
+++ b/stileloft/coordination/recovery.py
@@ -0,0 +1,72 @@
+"""A new leader reads from the store what is unfinished."""
+
+from typing import TYPE_CHECKING, Any
+
+from stileloft.bookkeeping import records
+from stileloft.bookkeeping.model import Job, job_from_record, orphan_spec
+from stileloft.protocol.state import Item
+
+if TYPE_CHECKING:
+    from stileloft.coordination.leader import Term
+
+NOTHING_KNOWN: dict[str, Any] = {"r": ["-", 0.0, 0.0, 0.0]}
+"""In place of a chunk's own record, when only further ones are left of it."""
+
+
+async def recover(term: "Term") -> None:
+    """Fills the term's picture; raises the state service's errors, and may then be called again."""
+    # The watch continues from the first read, so that nothing is missed in between.
+    asked_at = term.clock.seconds()
+    active, revision = await term.state.scan(records.ACTIVE)
+    chunks, _ = await term.state.scan(records.TASKS)
+    rented, _ = await term.state.scan(records.RENTED)
+    images, _ = await term.state.scan(records.IMAGES)
+    # A chunk that was read after its job's record may be newer: its version guards it.
+    with term.lock:
+        term.jobs.clear()
+        _load_jobs(term, active, chunks)
+        for job in term.jobs.values():
+            _resume(term, job)
+        for key, value, _ in rented:
+            term.fleet.load_rental(key, value)
+        for key, value, _ in images:
+            term.fleet.load_images(key[len(records.IMAGES) :], value)
+        term.watch.revision = revision
+        term.watch.informed_at = asked_at
+
+
+def _load_jobs(term: "Term", active: list[Item], chunks: list[Item]) -> None:
+    """Unfinished jobs with their chunks, and what is left of those that are over."""
+    for _, value, version in sorted(active, key=lambda item: item[1]["t"]):
+        term.adopt(job_from_record(value, version, term.node.first_chunk_size))
+    by_job: dict[str, list[Item]] = {}
+    for item in chunks:
+        by_job.setdefault(records.split_chunk_key(item[0])[0], []).append(item)
+    for job_id, items in by_job.items():
+        found = term.jobs.get(job_id)
+        if found is None:
+            found = term.jobs[job_id] = _orphan(term, job_id, items)
+        found.load_chunks(items)
+
+
+def _orphan(term: "Term", job_id: str, items: list[Item]) -> Job:
+    """A job of which only chunks are left, as it was cancelled."""
+    whole = next((value for _, value, _ in items if "r" in value), NOTHING_KNOWN)
+    job = Job(orphan_spec(job_id, whole["r"]), 0.0, whole.get("n", term.node.first_chunk_size))
+    job.over = "cancelled"
+    return job
+
+
+def _resume(term: "Term", job: Job) -> None:
+    """Goes on with a job where the former leader left it."""
+    job.recount()
+    for placement in job.placements():
+        term.tasks.attach(placement)
+    if term.node.format >= 1:
+        term.upgrade.split_large_records(job)
+    if job.over:
+        term.tasks.stop_all(job)
+        if not job.placed:
+            term.tasks.mark_all_dirty(job)
+    elif job.spec.is_gang:
+        term.tasks.review_gang(job)
--- a/stileloft/coordination/snapshot.py
+++ b/stileloft/coordination/snapshot.py
@@ -193,6 +193,11 @@
     cpus: float = 0.0
     gpus: float = 0.0
 
+    def add(self, cpus: float, gpus: float) -> None:
+        """Counts what more tasks take."""
+        self.cpus += cpus
+        self.gpus += gpus
+
 
 @dataclass(slots=True)
 class Nomination:
--- /dev/null
+++ b/stileloft/coordination/snapshot_builder.py
@@ -0,0 +1,197 @@
+"""Builds the snapshot that a round of decisions is a function of."""
+
+from collections.abc import Iterable
+from typing import TYPE_CHECKING
+
+from stileloft.bookkeeping.model import ENDED, Job, Machine, fits_type
+from stileloft.coordination.snapshot import SHIELDED, Node, Running, Snapshot, Waiting
+from stileloft.protocol.messages import MachineType
+
+if TYPE_CHECKING:
+    from stileloft.coordination.leader import Term
+
+# A machine's copy for the decisions is kept for so long: its tasks' remaining times may be this old.
+VIEW_S = 1.0
+# Jobs are to begin within this time. One that has waited for this part of it goes before more pressing work,
+# which would keep it waiting without an end; earlier, down to the least part, while so many have not begun that
+# the machines need the time for a task of each.
+BEGIN_S = 240.0
+AGED_PART = 0.6
+AGED_LEAST = 0.25
+CROWD_PART = 0.9
+# Room kept for what is expected, or for a task that will have it later, is open to a job of which nothing was placed
+# for this part of it: nothing is to wait beside room that stays empty.
+OVERDUE_PART = 0.25
+# Waiting tasks of a job that one round looks at.
+TASKS_OFFERED = 64
+# A start counts for users if nothing stops the task within this time (PROTOCOL, how aims are counted).
+STARTED_S = 30.0
+
+
+class SnapshotBuilder:
+    """Copies the leader's picture, under the lock, for the thread that decides."""
+
+    def __init__(self, term: "Term") -> None:
+        self._term = term
+        self._cluster = term.cluster
+        self._workload = term.workload
+
+    def build(self) -> Snapshot:
+        """A snapshot of all machines and of the jobs that wait."""
+        term, cluster = self._term, self._cluster
+        now = term.clock.seconds()
+        types = dict(term.types)
+        nodes = self._nodes(types, now)
+        return Snapshot(
+            now=term.wall(),
+            nodes=nodes,
+            waiting=self._waiting(nodes.values(), now),
+            teams=term.teams,
+            usage=cluster.usage(term.teams),
+            nominations=dict(cluster.nominations),
+            types=types,
+            expected=term.headroom(gang=True),
+        )
+
+    def _nodes(self, types: dict[str, MachineType], now: float) -> dict[str, Node]:
+        """Copies of all machines, those included that are being rented."""
+        nodes: dict[str, Node] = {}
+        for machine in self._cluster.machines.values():
+            kind = types.get(machine.type)
+            if kind is not None:
+                nodes[machine.id] = self._view(machine, kind, now)
+        for request, (offer, count) in self._term.fleet.renting.items():
+            for number in range(count):
+                node = Node(f"{request}-{number}", types[offer[0]], offer[1], offer[2], True, False)
+                node.settle()
+                nodes[node.id] = node
+        return nodes
+
+    def _waiting(self, nodes: Iterable[Node], now: float) -> list[Waiting]:
+        """The jobs with tasks that may be placed now."""
+        stray_tasks = self._cluster.stray_tasks()
+        aged_s = self._aged_after(nodes)
+        avoided: dict[str, set[str]] = {}
+        for (job_id, machine_id), until in self._cluster.avoided.items():
+            if until > now:
+                avoided.setdefault(job_id, set()).add(machine_id)
+        found = []
+        for job in self._cluster.jobs.values():
+            if job.waiting <= 0 or job.not_before > now or job.reload:
+                continue
+            if job.spec.is_gang and job.placed:
+                continue  # the rest of it is ending: it comes again as a whole
+            tasks = job.free_tasks(self._most_offered(job))
+            if stray_tasks:
+                tasks = [i for i in tasks if f"{job.id}/{i}" not in stray_tasks]
+            found.append(
+                Waiting(
+                    job.spec,
+                    job.submitted,
+                    job.waiting,
+                    tasks,
+                    dict(job.zones),
+                    self._workload.estimate(job.spec),
+                    self._workload.wait_goals.get(job.spec.job_class),
+                    frozenset(avoided.get(job.id, ())),
+                    self._aged(job, aged_s),
+                    begun=job.begun,
+                    overdue=now - max(job.served_at, job.known_since) > OVERDUE_PART * BEGIN_S,
+                )
+            )
+        return found
+
+    @staticmethod
+    def _most_offered(job: Job) -> int:
+        """How many of a job's tasks a round may place: one at a time after a failure, and a gang whole."""
+        if job.spec.is_gang:
+            return job.waiting
+        return 1 if job.errors else TASKS_OFFERED
+
+    def _view(self, machine: Machine, kind: MachineType, now: float) -> Node:
+        """The machine's copy for the decisions; made anew when it has changed, or its times have become old."""
+        view = machine.view
+        if view is None or now - machine.view_at > VIEW_S or view.type is not kind:
+            view = self._node(machine, kind, now)
+            machine.view, machine.view_at = view, now
+        elif view.ready != self.is_ready(machine, now):
+            view = view.copy()
+            view.ready = not view.ready
+            machine.view = view
+        return view
+
+    def is_ready(self, machine: Machine, now: float) -> bool:
+        """Whether something may be placed there: it is heard, and it hears us."""
+        if machine.draining is not None or machine.releasing:
+            return False
+        if machine.up_since is None:
+            return not self._term.fleet.is_late(machine, now)
+        return (
+            machine.trusted
+            and now - machine.came_at <= self._term.fleet.quiet_s
+            and machine.send_failures < 2
+            and self._term.dispatch.reaches(machine, now)
+        )
+
+    def _node(self, machine: Machine, kind: MachineType, now: float) -> Node:
+        copy = Node(
+            machine.id,
+            kind,
+            machine.zone,
+            machine.spot,
+            self.is_ready(machine, now),
+            machine.up_since is not None,
+            images=frozenset(machine.images),
+        )
+        fetching = set()
+        for placement in machine.placements.values():
+            job = self._cluster.jobs.get(placement.job)
+            if job is None or placement.state == ENDED:
+                continue  # what has ended takes no room, even if the store does not say so yet
+            spec = job.spec
+            if spec.image not in machine.images:
+                fetching.add(spec.image)
+            age = now - placement.running_since if placement.running_since is not None else 0.0
+            unsaved = age % spec.checkpoint_s if spec.checkpoint_s else age
+            copy.tasks.append(
+                Running(
+                    placement.key,
+                    spec,
+                    spec.team,
+                    SHIELDED if placement.shielded else spec.rank,
+                    spec.cpus,
+                    spec.gpus or 0.0,
+                    spec.memory_gb,
+                    unsaved,
+                    self._term.tasks.remaining(job, placement, now),
+                    leaving=placement.stop_grace is not None,
+                    safe=not spec.is_service and job.stopped_for_others < spec.tasks,
+                    together=spec.tasks if spec.is_gang else 1,
+                    fresh=spec.job_class in self._workload.wait_goals and age < STARTED_S,
+                )
+            )
+        for task, stray in machine.strays.items():
+            copy.tasks.append(
+                Running((task, -1), None, stray.team, SHIELDED, stray.cpus, stray.gpus, stray.memory_gb, leaving=True)
+            )
+        copy.idle_s = now - machine.idle_since if machine.idle_since is not None else 0.0
+        copy.fetching = frozenset(fetching)
+        copy.settle()
+        return copy
+
+    def _aged(self, job: Job, after_s: float) -> bool:
+        return self._term.wall() - job.submitted > after_s
+
+    def _aged_after(self, nodes: Iterable[Node]) -> float:
+        """How long a job waits before its age counts: less while a crowd is to begin on few machines."""
+        room: dict[str, float] = {}
+        for node in nodes:
+            if node.up:
+                room[node.type.name] = room.get(node.type.name, 0.0) + node.type.cpus
+        first_s = 0.0
+        for job in self._cluster.jobs.values():
+            if not job.begun and not job.over and job.waiting:
+                spec = job.spec
+                fitting = sum(cpus for name, cpus in room.items() if fits_type(spec, self._term.types[name]))
+                first_s += self._workload.estimate(spec) * spec.cpus / max(fitting, spec.cpus, 1.0)
+        return max(AGED_LEAST * BEGIN_S, min(AGED_PART * BEGIN_S, CROWD_PART * BEGIN_S - first_s))
--- a/stileloft/protocol/state.py
+++ b/stileloft/protocol/state.py
@@ -5,6 +5,9 @@
 from stileloft.transport.client import Client, ConnectionFailedError, NoResponseError
 from stileloft.transport.clock import Clock
 
+Item = tuple[str, Any, int]
+"""Key, value (None: deleted) and version."""
+
 # Items that the service gives in one answer.
 PAGE = 1000
 
@@ -117,9 +120,9 @@
             raise UnavailableError(f"status {reply.status}")
         return reply.body["v"], reply.body["stamp"], reply.body.get("hold")
 
-    async def scan(self, prefix: str, limit: int = PAGE) -> tuple[list[tuple[str, Any, int]], int]:
+    async def scan(self, prefix: str, limit: int = PAGE) -> tuple[list[Item], int]:
         """All items under a prefix, and the revision of the first page."""
-        items: list[tuple[str, Any, int]] = []
+        items: list[Item] = []
         revision: int | None = None
         after = ""
         while True:
@@ -175,7 +178,7 @@
     async def end_lease(self, lease: int) -> None:
         await self._ask("DELETE", f"/holds/{lease}")
 
-    async def watch(self, prefix: str, revision: int, wait_s: float) -> tuple[int, list[tuple[str, Any, int]]]:
+    async def watch(self, prefix: str, revision: int, wait_s: float) -> tuple[int, list[Item]]:
         """Changes after a revision: key, value (None: deleted), version."""
         reply = await self._ask(
             "GET",
--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -5,6 +5,7 @@
 import pytest
 
 from stileloft.coordination.leader import Term
+from stileloft.coordination.rounds import Rounds
 from stileloft.protocol import messages
 from stileloft.transport.client import NoResponseError, Reply
 from tests.rules import CANCEL_S
@@ -694,7 +695,7 @@
     refuse_leader(world)
     world.cancel(job)
     world.run(0.01)
-    term._on_change(job, None, world.state.revision)
+    term.watch.on_change(job, None, world.state.revision)
     assert term.jobs[job].reload and not term.machines[machine.name].claimed
     told = world.deliver_report(leader, machine.report()).body["orders"]
     assert {order["piece"] for order in told if order["verb"] == "stop"} >= {
@@ -734,8 +735,8 @@
 
 
 def test_the_checker_sees_what_waits_beside_room(monkeypatch: pytest.MonkeyPatch) -> None:
-    plain = Term._place
-    monkeypatch.setattr(Term, "_place", lambda term, key, *more: key[0] != "j-000001" and plain(term, key, *more))
+    plain = Rounds._place
+    monkeypatch.setattr(Rounds, "_place", lambda rounds, key, *more: key[0] != "j-000001" and plain(rounds, key, *more))
     world = World(seed=1, loss=0.0)
     for number in (1, 2):
         world.submit(world.job(number, pieces=1, guessS=60.0))
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -6,8 +6,8 @@
 
 from stileloft.coordination.admission import Admission, RetryLaterError
 from stileloft.coordination.fleet import Fleet
-from stileloft.coordination.leader import Term
 from stileloft.coordination.node import blind_grace
+from stileloft.coordination.snapshot_builder import SnapshotBuilder
 from stileloft.protocol import messages
 from stileloft.settings import Workers
 from tests.standins import World
@@ -400,7 +400,7 @@
 
 def test_the_checker_sees_unserved_and_forgotten_jobs(monkeypatch: pytest.MonkeyPatch) -> None:
     """Without ageing the overload keeps old jobs out; a node that answers no question about one job forgets it."""
-    monkeypatch.setattr(Term, "_aged", lambda term, job, after_s: False)
+    monkeypatch.setattr(SnapshotBuilder, "_aged", lambda builder, job, after_s: False)
     world = overloaded(4)
 
     plain = Admission.status
@@ -427,15 +427,15 @@
     term = world.nodes[world.leader()].term
     name = next(task.name for task in world.cloud.machines.values() if task.up)
     machine = term.machines[name]
-    assert term._ready(machine, world.now)
+    assert term.snapshots.is_ready(machine, world.now)
     # All its reports go to the leader, as often as a worker without answers can send them.
     world.deaf[name] = world.now + 11.0
     for seconds in (5.0, 10.0):
         world.clock.callLater(seconds, lambda: world.deliver_report(world.leader(), world.every_machine[name].report()))
     world.run(10.5)
-    assert world.now - machine.heard_at < term.fleet.quiet_s and not term._ready(machine, world.now)
+    assert world.now - machine.heard_at < term.fleet.quiet_s and not term.snapshots.is_ready(machine, world.now)
     world.run(8.0)
-    assert term._ready(machine, world.now) and world.rules.broken == []
+    assert term.snapshots.is_ready(machine, world.now) and world.rules.broken == []
 
 
 def test_late_copies_show_no_sign_of_life() -> None:
@@ -471,7 +471,7 @@
     placement = next(iter(term.machines[name].placements.values()))
     start = messages.orders(term.token, [messages.start(placement.task, placement.attempt)]) | {"stint": 1}
     term.machines[name].draining = "a test"
-    term.stop(placement, 0.0)
+    term.tasks.stop(placement, 0.0)
     world.run(30)
     assert world.rules.where["j-000001/0"].name != name
     world.every_machine[name].command(start)  # a repeat of what was carried out
--- a/tests/test_size.py
+++ b/tests/test_size.py
@@ -4,8 +4,9 @@
 
 from stileloft.bookkeeping import records
 from stileloft.coordination import placement
-from stileloft.coordination.leader import Term
 from stileloft.coordination.preemption import Trials
+from stileloft.coordination.rounds import Rounds
+from stileloft.coordination.snapshot_builder import SnapshotBuilder
 from stileloft.transport.sockets import KEEP_USERS, Sockets
 from tests.standins import TYPES, World
 
@@ -35,8 +36,8 @@
 
         monkeypatch.setattr(owner, name, call)
 
-    counted(Term, "_decide", "rounds")
-    counted(Term, "_node", "copies")
+    counted(Rounds, "_decide", "rounds")
+    counted(SnapshotBuilder, "_node", "copies")
     counted(placement.Candidates, "_weigh", "weighed")
     counted(Trials, "_try", "tried")
     world = World(seed, capacity=MACHINES, loss=0.0)
