Small jobs keep their tasks in their own record: format 2 of the store's records

A job of one task took six changes: accepted, placed, running, and three at its end, as its chunk has a record of its own. Change: from format 2 on the only chunk of a job is part of its own record, if that has room. Placing and counting write one record, the end takes two changes: five in all, four of them the leader's. A cancellation moves the chunk to tasks/ in the same transaction, so that what may still run stays known. The format is written once all controllers say that they read it, as format 1 was, on the version of its record; all three are read for good. What to write of a job (entries) and when (ledger) are two modules now. Tests: test_inline_records.py; two of its guards were taken out for a moment, and it failed: a cancellation that drops the placements, and counts written without the chunk. The test of a late copy of a transaction looked for records of chunks; it is played in both forms now. Versions of formats 0, 1 and 2 side by side are played from the history.

--- a/stileloft/bookkeeping/model.py
+++ b/stileloft/bookkeeping/model.py
@@ -59,10 +59,12 @@
     parts: dict[int, tuple[int, Any]] = field(default_factory=dict)
     """Version and value of its further records in the store."""
 
-    def record(self, spec: JobSpec, size: int | None = None) -> dict[str, Any]:
-        """The whole chunk as one value; with its length, from format 1 on."""
-        record: dict[str, Any] = {
-            "r": [spec.team, spec.cpus, spec.gpus or 0.0, spec.memory_gb],
+    inline: bool = False
+    """The job's own record holds it."""
+
+    def inline_record(self) -> dict[str, Any]:
+        """What a job's own record says of its only chunk."""
+        return {
             "a": self.attempt,
             "d": records.to_ranges(self.done | {i for i, p in self.placements.items() if p.state == ENDED and p.done}),
             "p": {
@@ -71,9 +73,10 @@
                 if p.state != ENDED
             },
         }
-        if size is not None:
-            record["n"] = size
-        return record
+
+    def record(self, spec: JobSpec, size: int | None = None) -> dict[str, Any]:
+        """The whole chunk as one value; with its length, from format 1 on."""
+        return separate_chunk(spec, self.inline_record(), size)
 
     def records(self, spec: JobSpec, size: int, value_bytes: int) -> list[dict[str, Any]]:
         """The chunk as its own record and the further ones that it takes, each within the limit."""
@@ -94,6 +97,12 @@
         return found
 
 
+def separate_chunk(spec: JobSpec, inline: dict[str, Any], size: int | None) -> dict[str, Any]:
+    """A chunk's own record, which also says what its tasks take: the job's record may be gone when it is read."""
+    record = {"r": [spec.team, spec.cpus, spec.gpus or 0.0, spec.memory_gb], **inline}
+    return record if size is None else record | {"n": size}
+
+
 class Job:
     """An accepted job, or what is left of a cancelled one."""
 
@@ -109,6 +118,8 @@
         """So many tasks of a chunk may be placed, while a chunk must have one record."""
         self.version = 0
         self.chunks: dict[int, Chunk] = {}
+        self.inline_value: dict[str, Any] | None = None
+        """What its record in the store said of its only chunk, when it was read."""
         self.done_chunks: set[int] = set()
         self.done = 0
         self.placed = 0
@@ -189,6 +200,11 @@
                         return found
         return found
 
+    @property
+    def has_inline_chunk(self) -> bool:
+        """Whether its own record in the store holds its only chunk."""
+        return any(chunk.inline for chunk in self.chunks.values())
+
     def add(self, placement: Placement) -> None:
         self.chunk_of(placement.index).placements[placement.index] = placement
         self.placed += 1
@@ -219,6 +235,7 @@
     def load_active(self, value: dict[str, Any], version: int) -> None:
         self.version = version
         self.size_stored = "n" in value
+        self.inline_value = value.get(records.INLINE_CHUNK)
         self.done_chunks = records.from_ranges(value["f"])
         self.stopped_for_others = max(self.stopped_for_others, value.get("e", 0))
         self.counts_stored = tuple(value["c"])  # type: ignore[assignment]
@@ -234,6 +251,10 @@
         for number, parts in found.items():
             if number not in self.done_chunks:
                 self.chunks[number] = self._load_chunk(before.get(number), parts)
+        if self.inline_value is not None and 0 not in self.chunks:
+            chunk = self._load_chunk(before.get(0), {0: (self.inline_value, 0)})
+            chunk.inline, chunk.stored = True, False
+            self.chunks[0] = chunk
 
     def _load_chunk(self, before: Chunk | None, parts: dict[int, tuple[Any, int]]) -> Chunk:
         """A chunk of its records, keeping what is known of unchanged placements."""
@@ -279,6 +300,7 @@
     """A job of its record; `size` is the length of its chunks if the record says nothing."""
     job = Job(job_from_wire(value["s"]), value["t"], value.get("n", size))
     job.load_active(value, version)
+    job.load_chunks([])
     return job
 
 
--- a/stileloft/bookkeeping/records.py
+++ b/stileloft/bookkeeping/records.py
@@ -15,7 +15,10 @@
 
 Format 0 is what the version before gangs reads: a chunk's length follows from
 `value_kb`, and a chunk has one record. Format 1 says the length in the job's
-record and in the chunk's (`n`), and has parts. Both are read for good.
+record and in the chunk's (`n`), and has parts. From format 2 on the only chunk
+of a small job is part of the job's own record (`k`), so that a placement and a
+change of the counts are one change of the store; a cancellation moves it to
+`tasks/`, in the same transaction. All three are read for good.
 """
 
 import json
@@ -25,7 +28,11 @@
 SETTINGS = "settings"
 FORMAT = "format"
 # What this version reads, and writes once all others do.
-NEWEST_FORMAT = 1
+NEWEST_FORMAT = 2
+# The first formats in which records say how long chunks are, and in which a chunk may be in its job's record.
+SIZED_FORMAT = 1
+INLINE_FORMAT = 2
+INLINE_CHUNK = "k"
 RENTED = "rented/"
 IMAGES = "images/"
 ACTIVE = "active/"
--- a/stileloft/coordination/admission.py
+++ b/stileloft/coordination/admission.py
@@ -7,8 +7,8 @@
 from twisted.internet import defer
 
 from stileloft.bookkeeping import records
-from stileloft.bookkeeping.model import active_record, fits_type
-from stileloft.protocol.messages import JobSpec, MachineType, state_answer
+from stileloft.bookkeeping.model import active_record, fits_type, separate_chunk
+from stileloft.protocol.messages import JobSpec, MachineType, job_from_wire, state_answer
 from stileloft.protocol.state import (
     PAGE,
     Budget,
@@ -25,6 +25,9 @@
 log = logging.getLogger(__name__)
 
 FINAL_CACHE = 5000
+# What a cancellation usually changes: the job's record goes, and one of its end comes.
+CANCEL_CHANGES = 2.0
+CANCEL_TRIES = 4
 # While more than this part of the read budget is left, each question has a read of its own; below it, all that come
 # within so many seconds share one that begins after the last of them came.
 SPARE_READS = 0.5
@@ -120,7 +123,9 @@
             raise InfeasibleJobError(reason)
         self._spend(self._writes, 1.0)
         active, final = records.active_key(spec.id), records.final_key(spec.id)
-        value = active_record(spec, self._wall(), self._catalog.chunk_size if self._catalog.format >= 1 else None)
+        value = active_record(
+            spec, self._wall(), self._catalog.chunk_size if self._catalog.format >= records.SIZED_FORMAT else None
+        )
         try:
             await self._state.commit({active: 0, final: 0}, {active: value}, [])
         except ConflictError:
@@ -195,25 +200,35 @@
         known = self._final.get(job)
         if known is not None:
             return known
-        self._spend(self._writes, 2.0)
-        active, final = records.active_key(job), records.final_key(job)
+        self._spend(self._writes, CANCEL_CHANGES)
         try:
             # The leader may rewrite the record between the read and the commit.
-            for _ in range(4):
-                found = await self._state.get(active)
+            for _ in range(CANCEL_TRIES):
+                found = await self._state.get(records.active_key(job))
                 if found is None:
                     return await self._ended(job)
-                record = records.final_record("cancelled", 0)
                 try:
-                    await self._state.commit({active: found[1], final: 0}, {final: record}, [active])
+                    return await self._cancel_record(job, found[0], found[1])
                 except ConflictError:
                     continue
-                log.info("job %s cancelled", job)
-                return self._keep_final(job, record)
         except (UnavailableError, UnknownOutcomeError) as error:
-            raise self._failed(error, self._writes, 2.0) from None
+            raise self._failed(error, self._writes, CANCEL_CHANGES) from None
         raise RetryLaterError("the job's record keeps changing")
 
+    async def _cancel_record(self, job: str, value: dict[str, Any], version: int) -> dict[str, Any]:
+        """Replaces a job's record, of this value and version, by the one of its cancellation."""
+        active, final = records.active_key(job), records.final_key(job)
+        ended = records.final_record("cancelled", 0)
+        puts = {final: ended}
+        inline = value.get(records.INLINE_CHUNK)
+        if inline is not None and inline["p"]:
+            # What may still run somewhere stays known until it is gone: it takes room, and has to be stopped.
+            puts[records.chunk_key(job, 0)] = separate_chunk(job_from_wire(value["s"]), inline, value["n"])
+            self._writes.spend(1.0)
+        await self._state.commit({active: version, final: 0}, puts, [active])
+        log.info("job %s cancelled", job)
+        return self._keep_final(job, ended)
+
     @staticmethod
     def _failed(error: Exception, budget: Budget, amount: float) -> RetryLaterError:
         # Otherwise the repeats during an outage would leave nothing for those after it.
--- a/stileloft/coordination/format_upgrade.py
+++ b/stileloft/coordination/format_upgrade.py
@@ -29,25 +29,37 @@
         Each says so by itself; none is taken to do so because it is silent. A process that has not been
         replaced yet says nothing of the kind, whatever it was before, so it holds the change back.
         """
-        others = {peer.member for peer in self._term.node.settings.peers}
         while self._term.alive and self._term.node.format < records.NEWEST_FORMAT:
-            members = {
-                view.member for view in await self._term.node.peers.views() if view.reads >= records.NEWEST_FORMAT
-            }
-            if members >= others and len(others) + 1 >= self._term.settings.size and self._term.confirmed():
-                value = {"format": records.NEWEST_FORMAT, "members": sorted({self._term.node.settings.member, *others})}
-                try:
-                    await self._term.state.commit(
-                        {records.LEADER: self._term.token, records.FORMAT: 0}, {records.FORMAT: value}, []
-                    )
-                except ConflictError:
-                    pass  # a former leader did it, or another leads: the node reads it
-                except (UnavailableError, UnknownOutcomeError) as error:
-                    log.debug("changing the format: %s", error)
-                else:
-                    self._term.node.take_format(records.NEWEST_FORMAT)
+            if await self._all_read_it() and self._term.confirmed():
+                await self._store()
             await self._term.sleep(FORMAT_S)
 
+    def _others(self) -> set[str]:
+        return {peer.member for peer in self._term.node.settings.peers}
+
+    async def _all_read_it(self) -> bool:
+        """Whether every controller of the deployment says now that it reads the newest format."""
+        others = self._others()
+        views = await self._term.node.peers.views()
+        readers = {view.member for view in views if view.reads >= records.NEWEST_FORMAT}
+        return readers >= others and len(others) + 1 >= self._term.settings.size
+
+    async def _store(self) -> None:
+        term = self._term
+        node = term.node
+        members = sorted({node.settings.member, *self._others()})
+        # An earlier change of format has left a record, which is written over in the version that we know.
+        guards = {records.LEADER: term.token, records.FORMAT: node.format_version}
+        value = {"format": records.NEWEST_FORMAT, "members": members}
+        try:
+            version = await term.state.commit(guards, {records.FORMAT: value}, [])
+        except ConflictError:
+            pass  # a former leader did it, or another leads: the node reads it
+        except (UnavailableError, UnknownOutcomeError) as error:
+            log.debug("changing the format: %s", error)
+        else:
+            node.take_format(records.NEWEST_FORMAT, version)
+
     def format_changed(self) -> None:
         """Records may be written in the newest format from now on."""
         with self._term.lock:
--- a/stileloft/coordination/job_watch.py
+++ b/stileloft/coordination/job_watch.py
@@ -91,6 +91,8 @@
                     job = job_from_record(value, version, self._term.node.first_chunk_size)
                     job.recount()
                     self._term.adopt(job)
+                    for placement in job.placements():
+                        self._term.tasks.attach(placement)
                 self._term.request_round()
             return
         if job is None or job.over:
@@ -99,8 +101,9 @@
         # its way. In both cases nothing of it may run. What is being stored of it may take as long as an
         # outage, so the stops don't wait for that; which of the two it was, the store tells then.
         with self._term.lock:
-            # With no transaction under way it was none of ours, and we know all that the store holds of it.
-            self._term.tasks.close_job(job, "over" if job.busy else "cancelled")
+            # With no transaction under way it was none of ours, and we know all that the store holds of it, unless
+            # its record held a chunk, which has one of its own now.
+            self._term.tasks.close_job(job, "over" if job.busy or job.has_inline_chunk else "cancelled")
         self._settle(job)
 
     def _settle(self, job: Job) -> None:
--- a/stileloft/coordination/leader.py
+++ b/stileloft/coordination/leader.py
@@ -10,10 +10,11 @@
 from stileloft.bookkeeping.model import Job, Machine
 from stileloft.coordination.cluster import Cluster
 from stileloft.coordination.dispatch import Dispatch
+from stileloft.coordination.entries import Entry, Limits
 from stileloft.coordination.fleet import Fleet
 from stileloft.coordination.format_upgrade import FormatUpgrade
 from stileloft.coordination.job_watch import JobWatch
-from stileloft.coordination.ledger import Entry, Ledger, Limits
+from stileloft.coordination.ledger import Ledger
 from stileloft.coordination.lifecycle import TaskLifecycle
 from stileloft.coordination.recovery import recover
 from stileloft.coordination.rounds import Rounds
@@ -144,7 +145,7 @@
         job.known_since = self.clock.seconds() - max(0.0, self.wall() - job.submitted)
         self.workload.observe(job.spec, job.submitted)
         most = records.tasks_in(self.limits.value_bytes)
-        if self.node.format >= 1:
+        if self.node.format >= records.SIZED_FORMAT:
             if not job.size_stored:
                 self.cluster.dirty[job.id] = None
         elif most < job.size:
--- a/stileloft/coordination/node.py
+++ b/stileloft/coordination/node.py
@@ -128,6 +128,8 @@
         self.leader_writes = Budget(reactor, least.write_rps * LEADER_WRITES)
         self.format = 0
         """The format in which records may be written, as far as is known; it never goes back."""
+        self.format_version = 0
+        """The version of the record that says so; 0 before there is one."""
         self.first_chunk_size = records.chunk_size(deployment.state.value_kb)
         """Tasks per chunk of the jobs whose records don't say."""
         self.chunk_size = min(self.first_chunk_size, records.tasks_in(least.value_bytes))
@@ -209,16 +211,19 @@
             try:
                 found = await self.state.get(records.FORMAT)
                 if found is not None:
-                    self.take_format(found[0]["format"])
-                else:
-                    await self.state.watch(records.FORMAT, self.state.revision, SETTINGS_WATCH_S)
+                    self.take_format(found[0]["format"], found[1])
+                if self.format < records.NEWEST_FORMAT:
+                    since = self.state.revision if found is None else found[1]
+                    await self.state.watch(records.FORMAT, since, SETTINGS_WATCH_S)
             except (UnavailableError, UnknownOutcomeError, CompactedError):
                 await self.sleep(SETTINGS_WATCH_S / 10)
             except Exception:
                 log.exception("format of the records")
                 await self.sleep(SETTINGS_WATCH_S / 10)
 
-    def take_format(self, number: int) -> None:
+    def take_format(self, number: int, version: int) -> None:
+        """Takes note of the stored format, and of the version of its record."""
+        self.format_version = max(self.format_version, version)
         if number > self.format:
             log.info("records are written in format %d from now on", number)
             self.format = number
--- a/stileloft/coordination/recovery.py
+++ b/stileloft/coordination/recovery.py
@@ -62,7 +62,7 @@
     job.recount()
     for placement in job.placements():
         term.tasks.attach(placement)
-    if term.node.format >= 1:
+    if term.node.format >= records.SIZED_FORMAT:
         term.upgrade.split_large_records(job)
     if job.over:
         term.tasks.stop_all(job)
--- /dev/null
+++ b/tests/test_inline_records.py
@@ -0,0 +1,189 @@
+"""Small jobs keep their tasks in their own record: fewer changes of the store, and nothing lost by a cancellation."""
+
+import json
+from collections import Counter
+from typing import Any
+
+import pytest
+
+from stileloft.bookkeeping import records
+from stileloft.bookkeeping.model import Job, Placement, job_from_record
+from stileloft.protocol.messages import job_from_wire
+from stileloft.transport.client import Reply
+from tests.standins import World
+from tests.test_rules import crash_leader, finish, load, outage
+from tests.versions import LAST_FORMAT_1, NEW, from_history
+
+last_format_1 = pytest.mark.skipif(from_history(LAST_FORMAT_1) is None, reason="the checkout lacks the history")
+
+
+def count_changes(world: World) -> Counter[str]:
+    """Counts the store's executed changes from now on, by their key's first part and what they do."""
+    counted: Counter[str] = Counter()
+    commit = world.state.commit
+
+    def counting(body: Any) -> Reply:
+        reply = commit(body)
+        if reply.status == 200:
+            for write in body["writes"]:
+                what = "set" if "set" in write else "delete"
+                counted[f"{what} {write[what].partition('/')[0]}"] += 1
+        return reply
+
+    world.state.commit = counting  # type: ignore[method-assign]
+    return counted
+
+
+def settled(seed: int, **more: Any) -> World:
+    """A world whose controllers all write the newest format."""
+    world = World(seed, loss=0.0, **more)
+    world.run(15)
+    assert {node.format for node in world.nodes.values() if node is not None} == {records.NEWEST_FORMAT}
+    return world
+
+
+def run_until_started(world: World, tasks: int) -> None:
+    for _ in range(120):
+        if len(world.rules.where) >= tasks:
+            return
+        world.run(1)
+    raise AssertionError("the tasks did not start")
+
+
+def test_a_one_task_job_takes_five_changes() -> None:
+    """Accepted, placed, running, and the two of its end; six with a record for its chunk."""
+    world = settled(101)
+    counted = count_changes(world)
+    for number in range(30):
+        world.clock.callLater(number * 1.0, world.submit, world.job(number, pieces=1, vcpus=1.0, guessS=8.0))
+    finish(world)
+    jobs = {kind: count for kind, count in counted.items() if "active" in kind or "final" in kind or "tasks" in kind}
+    assert set(world.rules.last.values()) == {"done"} and world.rules.broken == []
+    assert jobs["set final"] == jobs["delete active"] == 30
+    assert jobs["set active"] <= 3 * 30
+    assert set(jobs) == {"set active", "set final", "delete active"}
+
+
+def test_a_cancelled_job_keeps_what_may_still_run() -> None:
+    """Its record goes with the cancellation. Were its placements gone with it, nobody would stop them or count them."""
+    world = settled(102)
+    world.submit(world.job(1, pieces=3, guessS=200.0))
+    run_until_started(world, 3)
+    assert records.INLINE_CHUNK in world.state.items["active/j-000001"][0]
+    leader = world.leader()
+    assert leader is not None
+    # The leader hears nothing of it, and ends before it could.
+    world.state.refuses[leader] = world.now + 60.0
+    world.cancel("j-000001")
+    while world.rules.last.get("j-000001") != "aborted":
+        world.run(0.1)
+    kept = world.state.items[records.chunk_key("j-000001", 0)][0]
+    assert len(kept["p"]) == 3 and kept["r"] == ["core", 4.0, 0.0, 4.0]
+    world.kill(leader, 30.0)
+    # Well within a worker's lease: they are stopped by a successor that found them, and have not merely lapsed.
+    world.run(7)
+    assert world.leader() not in (None, leader)
+    assert world.rules.where == {} and world.rules.broken == []
+    world.run(20)
+    assert [key for key in world.state.items if "j-000001" in key] == ["final/j-000001"]
+
+
+def test_a_job_cancelled_before_it_is_placed_leaves_no_chunk() -> None:
+    world = settled(103)
+    world.cloud.kinds.clear()  # there is nowhere to run
+    world.submit(world.job(1, pieces=2))
+    world.run(2)
+    counted = count_changes(world)
+    world.cancel("j-000001")
+    world.run(4)
+    assert world.rules.last["j-000001"] == "aborted"
+    assert {kind: n for kind, n in counted.items() if "rented" not in kind} == {"set final": 1, "delete active": 1}
+
+
+def test_a_new_leader_finds_placements_in_the_jobs_record() -> None:
+    world = settled(104)
+    for number in range(4):
+        world.submit(world.job(number, pieces=3, vcpus=1.0, guessS=60.0))
+    run_until_started(world, 12)
+    starts = world.rules.starts
+    crash_leader(world)
+    world.run(8)
+    assert world.rules.starts == starts and len(world.rules.where) == 12
+    finish(world)
+    assert world.rules.broken == [] and set(world.rules.last.values()) == {"done"}
+
+
+def test_a_chunk_that_the_record_has_no_room_for_gets_one_of_its_own() -> None:
+    """The limit of a value becomes lower without notice, while many tasks are placed."""
+    world = settled(105, value_kb=16.0)
+    world.submit(world.job(1, pieces=40, vcpus=0.5, memGb=0.2, guessS=60.0))
+    run_until_started(world, 40)
+    assert records.INLINE_CHUNK in world.state.items["active/j-000001"][0]
+    world.state.value_bytes = 1024
+    finish(world)
+    assert world.rules.broken == [] and world.rules.last == {"j-000001": "done"}
+    world.run(20)
+    assert [key for key in world.state.items if key.startswith(("active/", "tasks/"))] == []
+
+
+@last_format_1
+@pytest.mark.parametrize("seed", [1, 2])
+def test_the_last_version_of_format_1_and_this_one_in_turn(seed: int) -> None:
+    """The roll, with leaders of both versions; nothing is written inline before all have the new version."""
+    world = World(seed=110 + seed, loss=0.004, version=from_history(LAST_FORMAT_1) or NEW)
+    load(world, jobs=24)
+    for number in range(200, 240):
+        world.clock.callLater(0.8 * number - 150, world.submit, world.job(number, pieces=1, vcpus=1.0, guessS=12.0))
+    for number in (205, 212, 219, 226, 233):
+        world.clock.callLater(0.8 * number - 146, world.cancel, f"j-{number:06d}")
+    world.clock.callLater(18.0, world.kill, "node-0", 1.0, NEW)
+    world.clock.callLater(26.0, world.kill, "node-1", 0.3)  # comes back old before its turn
+    world.clock.callLater(32.0, world.kill, "node-1", 1.0, NEW)
+    for seconds in range(40):
+        world.run(1)
+        inline = [key for key, item in world.state.items.items() if records.INLINE_CHUNK in item[0]]
+        assert inline == [], f"after {seconds} s"
+    world.kill("node-2", 1.0, NEW)
+    world.run(12)
+    assert world.state.items[records.FORMAT][0]["format"] == 2
+    world.clock.callLater(3.0, crash_leader, world)
+    world.clock.callLater(14.0, outage, world)
+    world.rules.troubled_until = world.now + 40.0
+    finish(world)
+    assert world.rules.broken == [] and [job for job in world.jobs if not world.rules.is_final(job)] == []
+
+
+def test_an_inline_chunk_is_read_as_it_was_written() -> None:
+    spec = job_from_wire(
+        {
+            "nameId": "j-1",
+            "lane": "batch",
+            "crew": "core",
+            "shape": "array",
+            "urgency": "standard",
+            "pieces": 5,
+            "vcpus": 1.0,
+            "memGb": 1.0,
+            "bundle": "img",
+            "imageGb": 1.0,
+            "guessS": 1.0,
+        }
+    )
+    job = Job(spec, 7.0, 22)
+    chunk = job.chunk_of(0)
+    chunk.attempt, chunk.done = 3, {0, 4}
+    job.add(Placement("j-1", 1, 2, "n-000001", "a", True))
+    job.add(Placement("j-1", 2, 3, "n-000002", "b", False))
+    value = job.record(True) | {records.INLINE_CHUNK: chunk.inline_record()}
+    again = job_from_record(json.loads(json.dumps(value)), 9, 5)
+    again.recount()
+    assert (again.done, again.placed, again.version, again.size) == (2, 2, 9, 22)
+    read = again.chunks[0]
+    assert (read.attempt, read.done, read.inline, read.stored) == (3, {0, 4}, True, False)
+    assert [(p.index, p.attempt, p.machine, p.zone, p.spot) for p in again.placements()] == [
+        (1, 2, "n-000001", "a", True),
+        (2, 3, "n-000002", "b", False),
+    ]
+    # A record of its own, as a cancellation leaves it, counts for more than what the job's record said before.
+    again.load_chunks([(records.chunk_key("j-1", 0), {"a": 4, "d": [[0, 5]], "p": {}}, 12)])
+    assert (again.chunks[0].attempt, again.chunks[0].inline, again.chunks[0].version) == (4, False, 12)
--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from stileloft.bookkeeping import records
 from stileloft.coordination.leader import Term
 from stileloft.coordination.rounds import Rounds
 from stileloft.protocol import messages
@@ -587,14 +588,25 @@
     assert asked[0] < 11 * 0.75 * world.state.rps and world.rules.broken == []
 
 
-def test_a_lost_answer_is_not_believed_before_the_late_copy_is_barred() -> None:
+@pytest.mark.parametrize("inline", [True, False])
+def test_a_lost_answer_is_not_believed_before_the_late_copy_is_barred(
+    monkeypatch: pytest.MonkeyPatch, inline: bool
+) -> None:
     """The placements of a transaction that got no answer come after a reload, when others have that room by then."""
+    if not inline:
+        monkeypatch.setattr(records, "INLINE_FORMAT", records.NEWEST_FORMAT + 1)
     world = World(seed=5, loss=0.0)
     world.run(5)
     handle, late = world.state.handle, []
 
-    def delayed(caller: str, method: str, path: str, body: object) -> object:
-        if path == "/commit" and not late and any(w.get("set", "").startswith("tasks/") for w in body["writes"]):
+    def places(write: dict) -> bool:
+        key = write.get("set", "")
+        if inline:
+            return key.startswith("active/") and bool(write["v"].get(records.INLINE_CHUNK, {}).get("p"))
+        return key.startswith("tasks/")
+
+    def delayed(caller: str, method: str, path: str, body: dict) -> object:
+        if path == "/commit" and not late and any(places(write) for write in body["writes"]):
             late.append((caller, method, path, body))
             raise NoResponseError("nothing comes back")
         return handle(caller, method, path, body)
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -9,7 +9,7 @@
 
 from stileloft.bookkeeping import records
 from stileloft.bookkeeping.model import ENDED, PLANNED, Chunk, Job, Placement, job_from_record
-from stileloft.coordination.ledger import Limits
+from stileloft.coordination.entries import Limits
 from stileloft.protocol.messages import job_from_wire
 from stileloft.protocol.peers import PeerView
 from stileloft.settings import State, parse
@@ -192,7 +192,7 @@
     world.start("node-1")
     world.run(5)
     assert world.state.items[records.FORMAT][0]["members"] == world.names
-    assert [node.format for node in world.nodes.values()] == [1, 1, 1]
+    assert [node.format for node in world.nodes.values()] == [2, 2, 2]
     # Jobs say from now on how long their chunks are; another limit in the settings does not change that.
     world.submit(world.job(1, pieces=30, vcpus=0.5))
     world.run(20)
--- a/tests/versions.py
+++ b/tests/versions.py
@@ -13,7 +13,8 @@
 from typing import Any, NamedTuple
 
 ROOT = Path(__file__).parent.parent
-NAME = "stileloft_production"
+LAST_FORMAT_1 = "7f751773ace7bdb78fec4f9818b2ebda927dfa76"
+"""The last version that writes a record for each chunk of a job."""
 
 
 class Version(NamedTuple):
@@ -52,24 +53,29 @@
 NEW = _version("stileloft")
 
 
-@functools.cache
 def production() -> Version | None:
     """The version in production, from the repository's history; None in a checkout without it."""
-    commit = tomllib.loads((ROOT / "deploy/service.toml").read_text())["production"]
+    return from_history(tomllib.loads((ROOT / "deploy/service.toml").read_text())["production"])
+
+
+@functools.cache
+def from_history(commit: str) -> Version | None:
+    """The version of a commit, loaded under a package name of its own; None in a checkout without it."""
     try:
         done = subprocess.run(["git", "-C", str(ROOT), "archive", commit, "stileloft"], capture_output=True)
     except OSError:
         return None
     if done.returncode:
         return None
+    package = f"stileloft_{commit[:8]}"
     folder = Path(tempfile.mkdtemp())
     with tarfile.open(fileobj=io.BytesIO(done.stdout)) as archive:
         for member in archive.getmembers():
             source = archive.extractfile(member) if member.name.endswith(".py") else None
             if source is not None:
-                # Under another name, so that both can be loaded.
-                path = folder / member.name.replace("stileloft", NAME, 1)
+                # Under another name, so that several can be loaded.
+                path = folder / member.name.replace("stileloft", package, 1)
                 path.parent.mkdir(parents=True, exist_ok=True)
-                path.write_text(re.sub(r"\bstileloft\b", NAME, source.read().decode()))
+                path.write_text(re.sub(r"\bstileloft\b", package, source.read().decode()))
     sys.path.append(str(folder))
-    return _version(NAME)
+    return _version(package)
