Jobs are written in turn, giant arrays in few changes, and small jobs go before giant ones

Change: at one priority jobs are written in the order in which they came to wait. A job of several chunks is written once in 1.2 s while the budget is short. Chunks hold as many tasks as a value has room for (65 at 4 KiB, for 22; their length is in the records). Ruled out: more room for the small jobs (they had it); the rate of submissions.

--- a/stileloft/bookkeeping/model.py
+++ b/stileloft/bookkeeping/model.py
@@ -133,6 +133,10 @@
         self.dirty = False
         self.pressing = False
         """What is to be written of it cannot wait, as completions can that leave more to do."""
+        self.write_turn = 0
+        """Jobs are written in this order, when all of them press alike."""
+        self.committed_at = float("-inf")
+        """When the newest transaction about it began."""
         self.gathering_since: float | None = None
         self.begun = False
         """One of its tasks has run."""
--- a/stileloft/bookkeeping/records.py
+++ b/stileloft/bookkeeping/records.py
@@ -41,15 +41,18 @@
 
 # A placement is at most some 70 characters of JSON, a finished range 16.
 BYTES_PER_TASK = 90
+MOST_PER_CHUNK = 256
 
 
 def chunk_size(value_kb: float) -> int:
     """Tasks per chunk such that a chunk's record stays within half of the limit."""
-    return max(8, min(256, int(value_kb * 1024 / 2 / BYTES_PER_TASK)))
+    return max(8, min(MOST_PER_CHUNK, int(value_kb * 1024 / 2 / BYTES_PER_TASK)))
 
 
 # The same as seen, and what a chunk's record takes beside its placements.
 USUAL_BYTES_PER_TASK = 42
+# The same of machines and zones with rather long names.
+LONG_BYTES_PER_TASK = 56
 CHUNK_BYTES = 450
 # A job's description must leave so much of a value for what is recorded of its course.
 COURSE_BYTES = 256
@@ -60,6 +63,14 @@
     return max(8, (value_bytes - CHUNK_BYTES) // USUAL_BYTES_PER_TASK)
 
 
+def sized_chunk_size(value_bytes: int) -> int:
+    """Tasks per chunk where the records say how many: as many as a record has room for, and some to spare.
+
+    Each chunk that is written is a change of the store, however many of its tasks have changed.
+    """
+    return min(MOST_PER_CHUNK, max(8, (value_bytes - CHUNK_BYTES) // LONG_BYTES_PER_TASK))
+
+
 def size_of(value: Any) -> int:
     """Bytes of a value as JSON, in its longest form: with spaces, and all but ASCII escaped."""
     return len(json.dumps(value))
--- a/stileloft/coordination/cluster.py
+++ b/stileloft/coordination/cluster.py
@@ -1,5 +1,6 @@
 """The leader's picture of the cluster: jobs, machines, nominations, and what has to be written of them."""
 
+import itertools
 from collections.abc import Iterable
 
 from stileloft.bookkeeping.model import Job, Machine, TaskKey
@@ -17,12 +18,21 @@
         self.nominations: dict[TaskKey, Nomination] = {}
         self.avoided: dict[tuple[str, str], float] = {}
         """Pairs of job and machine that are not to be tried again, and until when."""
+        self._turns = itertools.count(1)
 
     def mark_dirty(self, job: Job) -> None:
         """Something of the job has to be written, and does not wait."""
+        if not job.pressing:
+            job.write_turn = next(self._turns)
         job.dirty = job.pressing = True
         self.dirty[job.id] = None
 
+    def mark_counts(self, job: Job) -> None:
+        """The counts that users see of the job may have changed."""
+        if job.id not in self.dirty:
+            job.write_turn = next(self._turns)
+            self.dirty[job.id] = None
+
     def dirty_jobs(self) -> list[Job]:
         """Jobs of which something may have to be written."""
         found = []
--- a/stileloft/coordination/dispatch.py
+++ b/stileloft/coordination/dispatch.py
@@ -155,7 +155,7 @@
                             log.info("job %s begins, %.1f s after acceptance", job.id, term.wall() - job.submitted)
                         job.begun = True
                         term.fleet.has_image(machine, job.spec.image)
-                        term.cluster.dirty[job.id] = None
+                        term.cluster.mark_counts(job)
                         term.ledger.later(0.25)
             return
         placement.seen = EXITED
--- a/stileloft/coordination/ledger.py
+++ b/stileloft/coordination/ledger.py
@@ -35,6 +35,8 @@
 REFUSED_S = 0.3
 # The longest pause before a job that could not be read is read again; there may be many.
 RELOAD_MOST_S = 2.4
+# The budget is short when less than this part of a second's changes is left.
+SHORT_PART = 0.5
 # Completed tasks of a job are gathered for this long into one change; their room is free at once.
 GATHER_S = 1.2
 
@@ -109,13 +111,21 @@
                 self.later(job.looked_at + LOOK_S - now)  # only its counts may have changed
             elif job.gathering_since is not None and not job.pressing and now < job.gathering_since + GATHER_S:
                 self.later(job.gathering_since + GATHER_S - now)
+            elif self._is_paced(job) and now < job.committed_at + GATHER_S:
+                self.later(job.committed_at + GATHER_S - now)
             elif not job.busy:
                 due.append(job)
         # Under a burst the budget does not suffice for all. First what something waits for: placements, and
-        # ends; completions and counts only until users would see them too late.
-        due.sort(key=lambda job: (not self._waited_for(job, now), -job.spec.rank, job.submitted))
+        # ends; completions and counts only until users would see them too late. Then each job in its turn: by their
+        # age, an array of tens of thousands of tasks used up the budget, and small jobs waited until it was done.
+        due.sort(key=lambda job: (not self._waited_for(job, now), -job.spec.rank, job.write_turn))
         return due
 
+    def _is_paced(self, job: Job) -> bool:
+        """Whether a job of many chunks is to gather its changes, as the budget is short."""
+        writes = self.term.writes
+        return job.chunk_count() > 1 and not job.over and writes.level() < SHORT_PART * writes.per_s
+
     def _most_changes(self) -> int:
         return min(self.term.limits.ops, int(self.term.writes.per_s))
 
@@ -161,6 +171,7 @@
     def _start(self, batch: Batch) -> None:
         for entry in batch.entries:
             entry.job.busy = True
+            entry.job.committed_at = self.term.clock.seconds()
             entry.job.pressing, entry.job.gathering_since = False, None
             for number in entry.chunks:
                 entry.job.chunks[number].dirty = False
@@ -189,7 +200,7 @@
 
     def _counts_later(self, job: Job) -> None:
         if not job.over and (job.done, job.running()) != job.counts_stored:
-            self.term.cluster.dirty[job.id] = None
+            self.term.cluster.mark_counts(job)
             self.later(COUNTS_S / 2)
 
     async def _commit(self, batch: list[Entry]) -> None:
--- a/stileloft/coordination/node.py
+++ b/stileloft/coordination/node.py
@@ -132,7 +132,7 @@
         """The version of the record that says so; 0 before there is one."""
         self.first_chunk_size = records.chunk_size(deployment.state.value_kb)
         """Tasks per chunk of the jobs whose records don't say."""
-        self.chunk_size = min(self.first_chunk_size, records.tasks_in(least.value_bytes))
+        self.chunk_size = records.sized_chunk_size(least.value_bytes)
         """The same of new jobs, once their records may say so."""
         self.admission = Admission(reactor, self.state, self.teams, self, reads, writes, wall, least.value_bytes)
         self.nonce = secrets.token_hex(8)
--- a/stileloft/coordination/placement.py
+++ b/stileloft/coordination/placement.py
@@ -59,15 +59,29 @@
         # All of them are old, the more pressing ones too. First each is to begin.
         return (0, 1 if job.begun else 0, job.submitted)
     owed = within_guarantee(spec, snapshot.teams.get(spec.team), usage.get(spec.team, Usage()))
-    if spec.deadline_s is not None:
-        latest = job.submitted + spec.deadline_s - job.estimate_s
-        if latest < snapshot.now - job.estimate_s:
-            # Lost anyway: behind those that are pressed now and can still be met, but not behind
-            # those that have time, or the longest would be begun when all else is done.
-            latest = snapshot.now
-    else:
-        latest = job.submitted + job.estimate_s
-    return (1, -spec.rank, 0 if owed else 1, latest, job.submitted)
+    return (1, -spec.rank, 0 if owed else 1, latest_start(job, snapshot), job.submitted)
+
+
+def latest_start(job: Waiting, snapshot: Snapshot) -> float:
+    """When the job is to begin at the latest; without a deadline, when its share of the machines would be done.
+
+    One array of tens of thousands of tasks would else go before all small jobs that come while it is served.
+    """
+    if job.spec.deadline_s is None:
+        return job.submitted + max(job.estimate_s, alone_s(job, snapshot))
+    latest = job.submitted + job.spec.deadline_s - job.estimate_s
+    if latest < snapshot.now - job.estimate_s:
+        # Lost anyway: behind those that are pressed now and can still be met, but not behind
+        # those that have time, or the longest would be begun when all else is done.
+        return snapshot.now
+    return latest
+
+
+def alone_s(job: Waiting, snapshot: Snapshot) -> float:
+    """Seconds that the whole job would take if its team, or the machines, had nothing else to do."""
+    team = snapshot.teams.get(job.spec.team)
+    cpus = team.cpus_max if team is not None and team.cpus_max else snapshot.cpus()
+    return job.spec.tasks * job.spec.cpus * job.estimate_s / max(cpus, job.spec.cpus, 1.0)
 
 
 def limit_aged(snapshot: Snapshot) -> None:
--- a/stileloft/coordination/snapshot.py
+++ b/stileloft/coordination/snapshot.py
@@ -226,6 +226,13 @@
     """Room held in this round, by machine."""
     owned: set[str] = field(default_factory=set)
     """Machines that this round has a copy of."""
+    _cpus: float | None = None
+
+    def cpus(self) -> float:
+        """Processors of all machines."""
+        if self._cpus is None:
+            self._cpus = sum(node.type.cpus for node in self.nodes.values())
+        return self._cpus
 
     def own(self, machine: str) -> Node:
         """The machine's copy that may be changed."""
