Rounds leave time for reports, and jobs are not put in order when nothing can be written

Change: the budget is asked first; machines that became full are left out only after a placement; after a round there is a pause as long as the round took.

--- a/stileloft/coordination/ledger.py
+++ b/stileloft/coordination/ledger.py
@@ -95,6 +95,8 @@
             # Reports ask for a flush many times a second: in an outage each would be a request in vain.
             self.later(self._refused_until - now)
             return
+        if self.in_flight >= IN_FLIGHT or not self._budget_allows():
+            return  # seen first: under a burst hundreds of jobs would be put in order with each report
         with term.lock:
             waiting = self._due(now)
             while waiting and self.in_flight < IN_FLIGHT and self._budget_allows():
--- a/stileloft/coordination/placement.py
+++ b/stileloft/coordination/placement.py
@@ -199,8 +199,14 @@
     saving: set[str] = field(default_factory=set)
     """Teams at their limit, of which an old job is to have what becomes free."""
 
-    def narrow(self) -> None:
-        """Leaves out the machines that have become full."""
+    narrowed_at: int = -1
+    """How many tasks had been placed when the open machines were last looked at."""
+
+    def narrow(self, placed: int) -> None:
+        """Leaves out the machines that have become full, if tasks were placed since the last time."""
+        if placed == self.narrowed_at:
+            return
+        self.narrowed_at = placed
         nodes, (cpus, memory_gb) = self.snapshot.nodes, self.least
         self.open = [
             name
@@ -421,7 +427,7 @@
         preemption.Spares(nodes),
     )
     for job in sorted(snapshot.waiting, key=lambda job: order_key(job, snapshot, snapshot.usage)):
-        about.narrow()
+        about.narrow(len(decision.placed))
         if not job.spec.is_gang:
             serve(job, about, decision, max_placed, max_evictions)
         else:
--- a/stileloft/coordination/rounds.py
+++ b/stileloft/coordination/rounds.py
@@ -22,6 +22,9 @@
 # Rounds: at least this long apart, and after a change at the earliest this late.
 ROUND_GAP_S = 0.15
 ROUND_DELAY_S = 0.02
+# Pause after a round, as a multiple of the time that it took: with hundreds of jobs waiting, rounds would else take
+# all of the process's share, and reports and submissions would wait.
+PAUSE_ROUNDS = 1.0
 # How often a round also plans rentals.
 PLAN_S = 2.0
 # What one round places, as a multiple of the changes in a transaction.
@@ -42,6 +45,7 @@
         self._round_due: Any = None
         self._round_again = False
         self._round_at = 0.0
+        self._took_s = 0.0
         self._planned_at = 0.0
 
     def stop(self) -> None:
@@ -58,9 +62,13 @@
             return
         if self._round_due is not None and self._round_due.active():
             return
-        wait = max(ROUND_DELAY_S, self._round_at + ROUND_GAP_S - self._term.clock.seconds())
+        wait = max(ROUND_DELAY_S, self._next_round_at() - self._term.clock.seconds())
         self._round_due = self._term.clock.callLater(wait, self._start_round)
 
+    def _next_round_at(self) -> float:
+        """When the next round may begin, after the last one and a pause."""
+        return self._round_at + max(ROUND_GAP_S, (1.0 + PAUSE_ROUNDS) * self._took_s)
+
     def _start_round(self) -> None:
         if not self._term.confirmed() or not self._term.types:
             return
@@ -77,6 +85,7 @@
 
     def _round_over(self, _: Any) -> None:
         self._round_running = False
+        self._took_s = self._term.clock.seconds() - self._round_at
         if self._round_again:
             self.request()
 
--- a/tests/test_gangs.py
+++ b/tests/test_gangs.py
@@ -146,7 +146,7 @@
 
     world.state.handle = counted  # type: ignore[method-assign]
     monkeypatch.setattr(Machine, "start", counted_start)
-    world.submit(gang(world, 1, pieces=20))
+    world.submit(gang(world, 1, pieces=24))
     while not commits:
         world.run(0.5)
     assert {len(launches), len(world.gangs)} == {0} or stored != "in part"
