--- a/stileloft/coordination/fleet.py
+++ b/stileloft/coordination/fleet.py
@@ -270,9 +270,10 @@
 
     # -- renting ------------------------------------------------------------------
 
-    def refused_now(self) -> set[Offer]:
+    def refused_now(self) -> frozenset[Offer]:
+        """Offers that the cloud had none of lately."""
         now = self.term.clock.seconds()
-        return {offer for offer, until in self.refused.items() if until > now}
+        return frozenset(offer for offer, until in self.refused.items() if until > now)
 
     def apply(self, plan: Plan) -> None:
         for machine_id in plan.give_back:
--- a/stileloft/coordination/rounds.py
+++ b/stileloft/coordination/rounds.py
@@ -8,9 +8,10 @@
 from typing import TYPE_CHECKING, Any
 
 from stileloft.bookkeeping.model import ENDED, PLANNED, Chunk, Job, Machine, Placement, TaskKey
-from stileloft.coordination import gangs, placement, scaling
+from stileloft.coordination import gangs, placement
 from stileloft.coordination.placement import Decision
 from stileloft.coordination.preemption import Eviction
+from stileloft.coordination.scaling import Demand, Plan, Planner
 from stileloft.coordination.snapshot import EPSILON, Nomination, Usage, within_limit, zone_allowed
 from stileloft.protocol.messages import JobSpec, MachineType
 
@@ -89,22 +90,23 @@
         if self._round_again:
             self.request()
 
-    def _decide(self, scale: bool) -> tuple[Decision, scaling.Plan | None]:
+    def _decide(self, scale: bool) -> tuple[Decision, Plan | None]:
         """Runs in its own thread; works on a copy."""
         term = self._term
         with term.lock:
             snapshot = term.snapshots.build()
             refused = term.fleet.refused_now()
             headroom = term.headroom(gang=False)
-            busy = term.workload.any_active()
+            active = term.workload.any_active()
         max_placed = PLACED_TXNS * term.settings.state.txn_ops  # many of them share a change
         decision = placement.decide(snapshot, max_placed, MAX_EVICTIONS)
         plan = None
         if scale:
-            plan = scaling.plan(snapshot, decision.unmet, refused, headroom, busy, term.node.operator_settings)
+            demand = Demand(decision.unmet, headroom, active, refused)
+            plan = Planner(snapshot, demand, term.node.operator_settings).plan()
         return decision, plan
 
-    def _apply(self, outcome: tuple[Decision, scaling.Plan | None]) -> None:
+    def _apply(self, outcome: tuple[Decision, Plan | None]) -> None:
         """Carries out what was decided, as far as it still holds."""
         decision, plan = outcome
         term = self._term
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -10,7 +10,7 @@
 from stileloft.coordination.gangs import units
 from stileloft.coordination.placement import decide
 from stileloft.coordination.preemption import candidates, loss, preempt, room_beside
-from stileloft.coordination.scaling import Offer, plan
+from stileloft.coordination.scaling import Demand, Offer, Planner
 from stileloft.coordination.snapshot import (
     Hold,
     Node,
@@ -419,7 +419,8 @@
     settings: OperatorSettings | None = None,
 ):
     snapshot = Snapshot(0.0, {n.id: n for n in nodes}, [], TEAMS, used(nodes), {}, {"small": SMALL, "large": LARGE})
-    return plan(snapshot, unmet, refused or set(), [], True, settings or OperatorSettings())
+    demand = Demand(unmet, refused=frozenset(refused or ()))
+    return Planner(snapshot, demand, settings or OperatorSettings()).plan()
 
 
 def test_rentals_are_cheap_and_fit_the_task() -> None:
@@ -447,7 +448,7 @@
         snapshot = Snapshot(0.0, {"n-0": kept}, [job], TEAMS, used([kept]), {}, {"small": SMALL}, keep)
         decision = decide(snapshot, 10, 8)
         assert len(decision.placed) + 2 * len(decision.evictions) == placed
-        rented = plan(snapshot, decision.unmet, set(), [], True, OperatorSettings()).rent
+        rented = Planner(snapshot, Demand(decision.unmet), OperatorSettings()).plan().rent
         assert sum(rented.values()) == (1 if keep else 0)
     old = waiting(spec(1, 4.0), 2)
     old.aged = True
