Boots that keep failing: another zone first, and late machines go back when nobody waits

Change: an offer (type, zone, spot) of which two machines in a row were late counts double in price for one boot, twice as long with each further one, up to eight; a machine in time ends that. A late machine is returned as soon as nothing waits. Lateness is found in one place, the check, so that a plan never rents before it is counted.

--- a/stileloft/bookkeeping/model.py
+++ b/stileloft/bookkeeping/model.py
@@ -362,6 +362,8 @@
     first_seen: float = 0.0
     up_since: float | None = None
     rented_at: float = 0.0
+    late: bool = False
+    """It was not up when it should have been, and does not count as coming any more."""
     notice_until: float | None = None
     listed_state: str = ""
     releasing: bool = False
--- a/stileloft/coordination/dispatch.py
+++ b/stileloft/coordination/dispatch.py
@@ -52,6 +52,7 @@
         machine.type, machine.zone, machine.spot = report.type, report.zone, report.spot
         if machine.up_since is None:
             machine.up_since = now
+            term.fleet.came_up(machine)
             machine.view = None
             # Failures from before it was up say nothing about it.
             machine.send_failures, machine.retry_at = 0, 0.0
--- a/stileloft/coordination/fleet.py
+++ b/stileloft/coordination/fleet.py
@@ -37,6 +37,10 @@
 BOOT_LIMIT = 3.0
 # How long an offer without capacity is left alone, in boot times.
 REFUSED_BOOTS = 0.5
+# An offer of which so many machines in a row were late is distrusted for a boot time, twice as long with each further
+# one, up to the most.
+LATE_IN_A_ROW = 2
+MOST_DISTRUSTED_BOOTS = 8.0
 MARGIN_LEASES = 0.1
 RENT_TRIES = 6
 # Machines that are gone are remembered for so many leases: packets held back may come minutes late.
@@ -63,6 +67,9 @@
         self.gone: dict[str, float] = {}
         self.returning: dict[str, Machine] = {}
         self.refused: dict[Offer, float] = {}
+        self._late_in_a_row: dict[Offer, int] = {}
+        self._distrusted: dict[Offer, float] = {}
+        """Offers whose machines keep coming late, and until when others are preferred."""
         self.renting: dict[str, tuple[Offer, int]] = {}
         self.listed_s = 4 * self.lag_s + 5.0
         """After this long a rented machine is surely in the cloud's list."""
@@ -177,6 +184,8 @@
         if machine.releasing:
             return
         heard = max(machine.heard_at, term.started_at)
+        if machine.up_since is None and not machine.late and self._is_late(machine, now):
+            self._came_late(machine, now)
         if machine.up_since is None and machine.listed_state != "running" and not machine.placements:
             if now - (machine.rented_at or machine.first_seen) > BOOT_LIMIT * self._boot_s(machine) + self.lag_s:
                 self.give_back(machine, "it did not come up")
@@ -208,10 +217,32 @@
             and waited > self.lease_s
         )
 
-    def is_late(self, machine: Machine, now: float) -> bool:
-        """Whether a machine should be up by now and is not: others are rented for what waits for it."""
+    def _is_late(self, machine: Machine, now: float) -> bool:
+        """Whether a machine should be up by now."""
         return now - (machine.rented_at or machine.first_seen) > LATE_BOOTS * self._boot_s(machine)
 
+    def _came_late(self, machine: Machine, now: float) -> None:
+        """It does not count as coming any more: others are rented for what waits for it."""
+        machine.late = True
+        offer = (machine.type, machine.zone, machine.spot)
+        late = self._late_in_a_row[offer] = self._late_in_a_row.get(offer, 0) + 1
+        if late >= LATE_IN_A_ROW:
+            boots = min(MOST_DISTRUSTED_BOOTS, 2.0 ** (late - LATE_IN_A_ROW))
+            self._distrusted[offer] = now + boots * self._boot_s(machine)
+            log.info("the last %d machines of %s in %s came late: others are preferred", late, offer[0], offer[1])
+
+    def came_up(self, machine: Machine) -> None:
+        """A machine is up; one that is in time shows that its offer can be trusted."""
+        if not machine.late:
+            offer = (machine.type, machine.zone, machine.spot)
+            self._late_in_a_row.pop(offer, None)
+            self._distrusted.pop(offer, None)
+
+    def distrusted_now(self) -> frozenset[Offer]:
+        """Offers whose machines keep coming late."""
+        now = self.term.clock.seconds()
+        return frozenset(offer for offer, until in self._distrusted.items() if until > now)
+
     def _boot_s(self, machine: Machine) -> float:
         kind = self.term.types.get(machine.type)
         return kind.boot_s if kind else self.lease_s
--- a/stileloft/coordination/rounds.py
+++ b/stileloft/coordination/rounds.py
@@ -96,13 +96,14 @@
         with term.lock:
             snapshot = term.snapshots.build()
             refused = term.fleet.refused_now()
+            distrusted = term.fleet.distrusted_now()
             headroom = term.headroom(gang=False)
             active = term.workload.any_active()
         max_placed = PLACED_TXNS * term.settings.state.txn_ops  # many of them share a change
         decision = placement.decide(snapshot, max_placed, MAX_EVICTIONS)
         plan = None
         if scale:
-            demand = Demand(decision.unmet, headroom, active, refused)
+            demand = Demand(decision.unmet, headroom, active, refused, distrusted)
             plan = Planner(snapshot, demand, term.node.operator_settings).plan()
         return decision, plan
 
--- a/stileloft/coordination/scaling.py
+++ b/stileloft/coordination/scaling.py
@@ -29,6 +29,8 @@
 LATE_BOOTS = 1.0
 # The price of a large machine's share counts so much more for tasks that fit on a small one.
 LARGE_MACHINE_WEIGHT = 1.3
+# The same for an offer whose machines keep coming late: another zone is tried first, but not at any price.
+DISTRUSTED_WEIGHT = 2.0
 # Classes from this priority on may count on idle machines at the full price.
 URGENT_RANK = 2
 
@@ -87,6 +89,8 @@
     """Whether jobs are still coming."""
     refused: frozenset[Offer] = frozenset()
     """Offers of which the cloud had none lately."""
+    distrusted: frozenset[Offer] = frozenset()
+    """Offers whose machines keep coming late."""
 
 
 class Planner:
@@ -191,7 +195,9 @@
         self._add((kind.name, min(zones, key=lambda zone: (spot.count(zone), zone)), True))
 
     def _return_idle(self) -> None:
-        """Returns machines that have stood idle for long enough, the dearest first."""
+        """Returns machines that have stood idle for long enough, the dearest first, and late ones nobody waits for."""
+        if not self._demand.unmet:
+            self._plan.give_back += [node.id for node in self._nodes if not node.up and not node.ready]
         for node in sorted(self._usable, key=lambda node: (node.spot, -price(node.type, node.spot), node.id)):
             boots = self._settings.keep_idle_boots if node.spot else KEEP_FULL_PRICE_BOOTS
             if node.up and not node.tasks and node.idle_s > boots * node.type.boot_s:
@@ -245,6 +251,8 @@
             # Large machines are kept for the tasks that need them.
             large = spec.cpus <= self._smallest_cpus < self._snapshot.types[name].cpus
             weight = LARGE_MACHINE_WEIGHT if large else 1.0
+            if offer in self._demand.distrusted:
+                weight *= DISTRUSTED_WEIGHT
             order = (round(share * weight, 4), self._in_zone.get((name, zone), 0), zone)
             if best is None or order < best[0]:
                 best = order, offer
--- a/stileloft/coordination/snapshot_builder.py
+++ b/stileloft/coordination/snapshot_builder.py
@@ -125,7 +125,7 @@
         if machine.draining is not None or machine.releasing:
             return False
         if machine.up_since is None:
-            return not self._term.fleet.is_late(machine, now)
+            return not machine.late
         return (
             machine.trusted
             and now - machine.came_at <= self._term.fleet.quiet_s
--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -10,7 +10,7 @@
 from stileloft.protocol import messages
 from stileloft.transport.client import NoResponseError, Reply
 from tests.rules import CANCEL_S
-from tests.standins import TYPES, World
+from tests.standins import TYPES, Machine, World
 from tests.test_rules import crash_leader, finish, hang_machines, load
 
 # -- troubles ----------------------------------------------------------------------------------------------------
@@ -799,3 +799,42 @@
     assert world.rules.begun_at["j-000001"] < 1.6 * 15.0 + 22.5 + 8.0
     world.run(60)
     assert not lost & set(world.cloud.machines) and world.rules.broken == []
+
+
+def test_a_zone_whose_boots_fail_is_tried_less_and_again_later() -> None:
+    """Machines of one zone never come up for a while: others are rented meanwhile, and then there again."""
+    world = World(seed=12, loss=0.0, capacity=12)
+    add, fails = world.cloud.add, [True]
+
+    def adding(kind: dict, zone: str, spot: bool) -> Machine:
+        world.cloud.boots_until = world.now + 1.0
+        world.cloud.boots = (1.0 if fails[0] and zone == "a" else 0.0, 0.0, 8.0)
+        return add(kind, zone, spot)
+
+    def rented_zones(first: int, jobs: int, **changes: object) -> list[str]:
+        """Where machines are rented for a burst of jobs, of which each fills one."""
+        before = set(world.every_machine)
+        for number in range(first, first + jobs):
+            world.submit(world.job(number, pieces=2, vcpus=4.0, guessS=60.0, builds=["small"], **changes))
+        world.run(6)
+        return [machine.zone for name, machine in world.every_machine.items() if name not in before]
+
+    world.cloud.add = adding  # type: ignore[method-assign]
+    world.run(4)
+    # More machines in the other zone, so that the one that fails would be preferred.
+    assert set(rented_zones(0, 5, yard="b", crew="edge")) == {"b"}
+    assert rented_zones(10, 6).count("a") >= 3
+    term = world.nodes[world.leader()].term
+    while not term.fleet.distrusted_now() and world.now < 60:
+        world.run(0.05)
+    assert {zone for _, zone, _ in term.fleet.distrusted_now()} == {"a"}
+    before = set(world.every_machine)
+    world.run(8)
+    instead = [machine.zone for name, machine in world.every_machine.items() if name not in before]
+    assert len(instead) >= 2 and set(instead) == {"b"}
+    fails[0] = False
+    world.run(200)  # all is done, and machines go back
+    assert term.fleet.distrusted_now() == set()
+    assert "a" in rented_zones(40, 8)
+    finish(world)
+    assert world.rules.broken == []
