Jobs submitted with a mistake: intervals that grow, and one attempt at a time

Cause, found by a new test: the pause grew with the number of machines on which the job had failed, so with three machines it stayed at 8 s for good, and after it each round offered one more task until the first had failed: 17 starts in two minutes. Change: the pause doubles with each attempt, up to a minute; while a job fails on several machines its next task is placed when the last is gone. A completed task ends both.

--- a/stileloft/bookkeeping/model.py
+++ b/stileloft/bookkeeping/model.py
@@ -149,6 +149,8 @@
         """When it was last weighed whether something is to be written of it."""
         self.errors: set[str] = set()
         self.not_before = 0.0
+        self.backoff_s = 0.0
+        """The pause after its newest failure, while it fails on several machines."""
         self.stopped_for_others = 0
         """How many of its tasks were stopped to make room: beyond one per task its budget is spent."""
         self.durations: list[tuple[str, float]] = []
--- a/stileloft/coordination/lifecycle.py
+++ b/stileloft/coordination/lifecycle.py
@@ -99,6 +99,7 @@
         job = self._cluster.jobs.get(placement.job)
         if job is not None and placement.running_since is not None and job.spec.estimate_s > 0:
             job.errors.clear()
+            job.backoff_s = 0.0
             took = now - placement.running_since
             # Attempts are counted per chunk: beyond its length, a task may have run before and saved.
             if job.spec.is_gang or placement.attempt <= job.chunk_length(placement.index // job.size):
@@ -127,8 +128,7 @@
             job.errors.add(machine.id)
             self.avoid(placement, machine.id, self._term.settings.workers.lease_s * 4)
             if len(job.errors) > 1:
-                pause = min(BACKOFF_MAX_S, BACKOFF_S * 2 ** len(job.errors))
-                self.delay(job.id, pause)
+                self._back_off(job)
         honest = [j for j in machine.errors if j in self._cluster.jobs and len(self._cluster.jobs[j].errors) < 2]
         if (len(honest) >= ERRORS_FAULTY or (honest and machine.error_count > 4)) and machine.draining is None:
             log.info("machine %s fails tasks of %d jobs: emptying it", machine.id, len(machine.errors))
@@ -136,6 +136,12 @@
             for other in list(machine.placements.values()):
                 self.stop(other)
 
+    def _back_off(self, job: Job) -> None:
+        """Has the job wait for longer with each further attempt; tasks that fail together are one."""
+        if self._term.clock.seconds() >= job.not_before:
+            job.backoff_s = min(BACKOFF_MAX_S, max(BACKOFF_S, 2.0 * job.backoff_s))
+        self.delay(job.id, job.backoff_s)
+
     def avoid(self, placement: Placement, machine_id: str, seconds: float) -> None:
         self._cluster.avoided[(placement.job, machine_id)] = self._term.clock.seconds() + seconds
 
--- a/stileloft/coordination/snapshot_builder.py
+++ b/stileloft/coordination/snapshot_builder.py
@@ -82,6 +82,8 @@
             if job.spec.is_gang and job.placed:
                 continue  # the rest of it is ending: it comes again as a whole
             tasks = job.free_tasks(self._most_offered(job))
+            if not tasks:
+                continue
             if stray_tasks:
                 tasks = [i for i in tasks if f"{job.id}/{i}" not in stray_tasks]
             found.append(
@@ -103,9 +105,12 @@
 
     @staticmethod
     def _most_offered(job: Job) -> int:
-        """How many of a job's tasks a round may place: one at a time after a failure, and a gang whole."""
+        """How many of a job's tasks a round may place: a gang whole, and what keeps failing one at a time."""
         if job.spec.is_gang:
             return job.waiting
+        if len(job.errors) > 1:
+            # It fails on several machines, as one that was submitted with a mistake does.
+            return 0 if job.placed else 1
         return 1 if job.errors else TASKS_OFFERED
 
     def _view(self, machine: Machine, kind: MachineType, now: float) -> Node:
