--- a/stileloft/coordination/placement.py
+++ b/stileloft/coordination/placement.py
@@ -85,16 +85,23 @@
 
 
 def limit_aged(snapshot: Snapshot) -> None:
-    """Of the jobs that have grown old each begins with a task; then the oldest go on, within such work's part."""
+    """Of the jobs that have grown old each begins with a task; then the oldest go on, within such work's part.
+
+    What is beyond that part is served in the ordinary order: else an old job of thousands of tasks would be held to
+    that part while machines stand empty.
+    """
     nodes = [node for node in snapshot.nodes.values() if node.up and node.ready]
     room = AGED_PART * sum(node.type.cpus for node in nodes)
     room -= sum(task.cpus for node in nodes for task in node.tasks if task.rank == SHIELDED)
     aged = [job for job in snapshot.waiting if job.aged]
     for job in sorted(aged, key=lambda job: (job.begun, job.submitted, job.spec.id)):
         job.first = room > 0 or not job.begun
+        wanted = (job.count if job.begun else 1) * job.spec.cpus
         if job.first and not job.spec.is_gang:
-            job.tasks = job.tasks[: max(1, int(room / job.spec.cpus)) if job.begun and job.spec.cpus else 1]
-        room -= (job.count if job.begun else 1) * job.spec.cpus
+            most = max(1, int(room / job.spec.cpus)) if job.begun and job.spec.cpus else 1
+            if most < job.count:
+                snapshot.waiting.append(job.split(most))
+        room -= wanted
 
 
 def fetch_time(spec: JobSpec, node: Node) -> float:
--- a/stileloft/coordination/snapshot.py
+++ b/stileloft/coordination/snapshot.py
@@ -185,6 +185,15 @@
     overdue: bool = False
     """Nothing of it was placed for so long that it may use room kept for what is only expected."""
 
+    def split(self, most: int) -> "Waiting":
+        """Keeps its first tasks, so many, and returns the others as a job that does not go first.
+
+        What is placed of either counts for both, by zone.
+        """
+        others = replace(self, count=self.count - most, tasks=self.tasks[most:], first=False)
+        self.count, self.tasks = most, self.tasks[:most]
+        return others
+
 
 @dataclass(slots=True)
 class Usage:
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -41,6 +41,9 @@
 name = "edge"
 cpus = 16.0
 cpus_max = 40.0
+[[deployment.teams]]
+name = "guest"
+cpus_max = 64.0
 [[deployment.objectives]]
 kind = "wait"
 class = "quick"
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -476,3 +476,15 @@
         hold = Hold(20.0, 2.0, 0.0, 8.0, owner)
         assert hold.lets(small, 40.0, overdue=True) is lets
         assert not hold.lets(small, 40.0) and hold.lets(spec(1, 2.0), 40.0, overdue=True)
+
+
+def test_an_old_job_of_many_tasks_is_not_held_to_the_part_of_the_old() -> None:
+    """A quarter of the machines goes to it first; what else is free it gets in the ordinary order."""
+    nodes = [node(f"n-{number}", SMALL, []) for number in range(4)]
+    old = waiting(spec(1, 1.0), 28)
+    old.aged = True
+    snapshot = Snapshot(0.0, {n.id: n for n in nodes}, [old], TEAMS, used(nodes), {}, {"small": SMALL})
+    decision = decide(snapshot, 100, 8)
+    assert sorted(key for key, _ in decision.placed) == [("j-1", index) for index in range(28)]
+    shielded = [task for n in snapshot.nodes.values() for task in n.tasks if task.rank > 3]
+    assert len(shielded) == 8
