--- a/stileloft/coordination/node.py
+++ b/stileloft/coordination/node.py
@@ -61,10 +61,12 @@
 # The leader's part of the cloud's limit; the other nodes ask for prices, and a former leader may ask a little.
 CLOUD_PART = 0.75
 
-# Parts of the state service's limits; together they stay below it.
+# Parts of the state service's limits. With one node down, as the users' part is shared out, they stay below it.
 READS_SHARE = 0.3
-LEADER_WRITES = 0.7
-USER_WRITES = 0.25
+LEADER_WRITES = 0.65
+USER_WRITES = 0.35
+# Users come in bursts: with one second's worth a quarter of them was sent away although the part was not used up.
+USER_BURST_S = 2.0
 
 # The leader's lease, as a part of the workers'.
 LEADER_LEASE = 0.1
@@ -124,7 +126,7 @@
         sharing = max(1, nodes - 1)
         least = deployment.state.least()
         reads = Budget(reactor, least.rps * READS_SHARE / sharing)
-        writes = Budget(reactor, max(2.0, least.write_rps * USER_WRITES / sharing))
+        writes = Budget(reactor, max(2.0, least.write_rps * USER_WRITES / sharing), USER_BURST_S)
         self.leader_writes = Budget(reactor, least.write_rps * LEADER_WRITES)
         self.format = 0
         """The format in which records may be written, as far as is known; it never goes back."""
--- a/stileloft/protocol/state.py
+++ b/stileloft/protocol/state.py
@@ -49,17 +49,18 @@
 
 
 class Budget:
-    """A token bucket with one second's worth of burst."""
+    """A token bucket; its burst is one second's worth if nothing else is said."""
 
-    def __init__(self, clock: Clock, per_s: float) -> None:
+    def __init__(self, clock: Clock, per_s: float, burst_s: float = 1.0) -> None:
         self._clock = clock
         self.per_s = per_s
-        self._level = max(1.0, per_s)
+        self._most = max(1.0, burst_s * per_s)
+        self._level = self._most
         self._at = clock.seconds()
 
     def _fill(self) -> None:
         now = self._clock.seconds()
-        self._level = min(max(1.0, self.per_s), self._level + (now - self._at) * self.per_s)
+        self._level = min(self._most, self._level + (now - self._at) * self.per_s)
         self._at = now
 
     def take(self, amount: float = 1.0) -> bool:
@@ -76,7 +77,7 @@
 
     def give_back(self, amount: float) -> None:
         """What was taken for a request that the service did not execute."""
-        self._level = min(max(1.0, self.per_s), self._level + amount)
+        self._level = min(self._most, self._level + amount)
 
     def level(self) -> float:
         self._fill()
