Tests: late records of rentals and of images do no harm

They get no answer and are carried out 4 s to 20 s later, over newer ones, with three changes of the leader and a wave of spot machines taken; two seeds each. No rule breaks, all jobs end, and the leader knows every machine that the cloud has.

--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -11,7 +11,7 @@
 from stileloft.transport.client import NoResponseError, Reply
 from tests.rules import CANCEL_S
 from tests.standins import TYPES, Machine, World
-from tests.test_rules import crash_leader, finish, hang_machines, load
+from tests.test_rules import crash_leader, finish, hang_machines, load, spot_wave
 
 # -- troubles ----------------------------------------------------------------------------------------------------
 
@@ -838,3 +838,36 @@
     assert "a" in rented_zones(40, 8)
     finish(world)
     assert world.rules.broken == []
+
+
+@pytest.mark.parametrize("kind", [records.RENTED, records.IMAGES])
+@pytest.mark.parametrize("seed", [1, 2])
+def test_late_records_of_rentals_and_images_do_no_harm(kind: str, seed: int) -> None:
+    """They get no answer and are carried out seconds later, over newer ones; then leaders change that read them."""
+    world = World(seed=seed, loss=0.0, capacity=6)
+    ask, held = world.state.ask, []
+
+    def asking(caller: str, method: str, path: str, body: dict) -> object:
+        keys = [write.get("set") or write["delete"] for write in body["writes"]] if path == "/commit" else []
+        if any(key.startswith(kind) for key in keys) and world.now < 90.0:
+            held.append(keys)
+            world.clock.callLater(world.random.uniform(4.0, 20.0), world.state.handle, caller, method, path, body)
+            raise NoResponseError("nothing comes back")
+        return ask(caller, method, path, body)
+
+    world.state.ask = asking  # type: ignore[method-assign]
+    load(world, jobs=18)
+    for number in range(18):
+        # Enough images that a machine's record changes again and again.
+        world.clock.callLater(3.0 * number, world.submit, world.job(100 + number, pieces=2, bundle=f"img-{number}"))
+    for at in (30.0, 52.0, 74.0):
+        world.clock.callLater(at, crash_leader, world)
+    world.clock.callLater(60.0, spot_wave, world)
+    world.rules.troubled_until = 110.0
+    finish(world)
+    assert len(held) >= 3 and world.rules.broken == []
+    assert [job for job in world.jobs if not world.rules.is_final(job)] == []
+    # What was rented is found again, by the cloud's list if not by its record; what nobody wants goes back.
+    world.run(100)
+    leader = world.nodes[world.leader()]
+    assert set(world.cloud.machines) == set(leader.term.machines) and len(world.cloud.machines) <= 6
