Linter: naming, unused arguments, simplifications and complexity; long functions taken apart

What they named is taken apart: the service of a job in a round (JobServer), the trial, reports taken in by dispatch, the watch over a machine, the election's search. Behaviour is unchanged; the decisions are compared with the plain model as before.

--- a/stileloft/coordination/dispatch.py
+++ b/stileloft/coordination/dispatch.py
@@ -6,7 +6,7 @@
 from twisted.internet import defer
 
 from stileloft.bookkeeping import records
-from stileloft.bookkeeping.model import BOUND, ENDED, Machine, Placement, Stray
+from stileloft.bookkeeping.model import BOUND, ENDED, Job, Machine, Placement, Stray
 from stileloft.coordination import gangs
 from stileloft.coordination.fleet import UNANSWERED_S
 from stileloft.protocol import messages
@@ -27,6 +27,8 @@
 CLAIMS_PART = 0.125
 # Attempts that were stopped are forgotten after this many leases.
 FORGET_LEASES = 4.0
+# The counts that users see are written this soon after a task has begun to run.
+COUNTS_FLUSH_S = 0.25
 
 
 class Dispatch:
@@ -51,48 +53,53 @@
             machine.address = report.address
         machine.type, machine.zone, machine.spot = report.type, report.zone, report.spot
         if machine.up_since is None:
-            machine.up_since = now
-            term.fleet.came_up(machine)
-            machine.view = None
-            # Failures from before it was up say nothing about it.
-            machine.send_failures, machine.retry_at = 0, 0.0
-            log.info(
-                "machine %s is up: %s in %s%s", machine.id, machine.type, machine.zone, ", spot" if machine.spot else ""
-            )
-            term.request_round()
-        new_session = report.session != machine.session
+            self._came_up(machine, now)
         new_session = report.session != machine.session
         machine.session, machine.seq = report.session, report.seq
-        was_trusted = machine.trusted
-        machine.trusted = report.token == term.token
-        if new_session or machine.trusted and not machine.claimed:
-            # A session that nobody answers lasts for a lease as well, and what was started in it lives as long.
-            machine.renewed_at = now
-        if machine.trusted and not machine.claimed:
-            machine.claimed = True
-            machine.came_at = now  # it reports by itself at once, having learned our token
+        self._take_token(machine, report.token, new_session, now)
         machine.reported = True
-        if machine.trusted and not was_trusted:
-            term.request_round()
         if new_session:
             machine.uncertain_session = None
             machine.forgets.clear()
             machine.strays.clear()
             machine.view = None
-        if report.notice_s is not None:
-            if machine.notice_until is None:
-                log.info("machine %s will be taken away in %.1f s", machine.id, report.notice_s)
-                machine.notice_until = now + report.notice_s
-                machine.draining = "taken away"
-                term.request_round()
+        if report.notice_s is not None and machine.notice_until is None:
+            log.info("machine %s will be taken away in %.1f s", machine.id, report.notice_s)
+            machine.notice_until = now + report.notice_s
+            machine.draining = "taken away"
+            term.request_round()
         if machine.trusted and term.loaded:
             # Before the store was read, all of its tasks would look as if they were not to be there, and be stopped.
             self._take_tasks(machine, report.tasks, now)
         machine.idle_since = None if machine.placements or machine.strays else (machine.idle_since or now)
         return machine
 
+    def _came_up(self, machine: Machine, now: float) -> None:
+        """The machine's first report of all."""
+        machine.up_since = now
+        machine.view = None
+        # Failures from before it was up say nothing about it.
+        machine.send_failures, machine.retry_at = 0, 0.0
+        kind = ", spot" if machine.spot else ""
+        log.info("machine %s is up: %s in %s%s", machine.id, machine.type, machine.zone, kind)
+        self.term.fleet.came_up(machine)
+        self.term.request_round()
+
+    def _take_token(self, machine: Machine, token: int, new_session: bool, now: float) -> None:
+        """Whether its report can be believed: it carries our own token."""
+        was_trusted = machine.trusted
+        machine.trusted = token == self.term.token
+        claims = machine.trusted and not machine.claimed
+        if new_session or claims:
+            # A session that nobody answers lasts for a lease as well, and what was started in it lives as long.
+            machine.renewed_at = now
+        if claims:
+            machine.claimed = True
+            machine.came_at = now  # it reports by itself at once, having learned our token
+        if machine.trusted and not was_trusted:
+            self.term.request_round()
+
     def _take_tasks(self, machine: Machine, tasks: list[TaskReport], now: float) -> None:
-        term = self.term
         unseen = dict(machine.placements)
         strays: dict[str, Stray] = {}
         for task in tasks:
@@ -106,30 +113,32 @@
                 self.forget_later(machine, task.task, task.attempt, task.why == "done")
             else:
                 strays[task.task] = self._stray(key[0], task)
+        self._take_strays(machine, strays)
+        for placement in unseen.values():
+            self._take_absence(machine, placement)
+
+    def _take_strays(self, machine: Machine, strays: dict[str, Stray]) -> None:
+        """Tasks on the machine that the store does not place there."""
         if machine.strays.keys() - strays.keys():
-            term.request_round()
+            self.term.request_round()
         if strays.keys() != machine.strays.keys():
             machine.view = None
-        for task_id in strays:
-            if task_id not in machine.strays:
-                log.info("task %s on %s is not ours to run there: stopping it", task_id, machine.id)
+        for task_id in strays.keys() - machine.strays.keys():
+            log.info("task %s on %s is not ours to run there: stopping it", task_id, machine.id)
         machine.strays = strays
-        for placement in unseen.values():
-            placement.seen = None
-            if (
-                placement.state == BOUND
-                and placement.sent_session is not None
-                and placement.sent_session < machine.session
-            ):
+
+    def _take_absence(self, machine: Machine, placement: Placement) -> None:
+        """The machine does not report a task that is placed there."""
+        placement.seen = None
+        if placement.state != BOUND:
+            return
+        if placement.sent_session is not None:
+            if placement.sent_session < machine.session:
                 # Sessions kill their tasks when they end, and starts sent in one fail in the next.
-                term.tasks.end(placement, "its session is over")
-            elif (
-                placement.state == BOUND
-                and placement.sent_session is None
-                and (machine.draining or placement.stop_grace is not None)
-            ):
-                # The worker knows our token, so no older leader's start can be executed any more.
-                term.tasks.end(placement, "it was not started")
+                self.term.tasks.end(placement, "its session is over")
+        elif machine.draining or placement.stop_grace is not None:
+            # The worker knows our token, so no older leader's start can be executed any more.
+            self.term.tasks.end(placement, "it was not started")
 
     def _stray(self, job_id: str, task: TaskReport) -> Stray:
         job = self.term.jobs.get(job_id)
@@ -139,45 +148,49 @@
         return Stray(task.attempt, spec.cpus, spec.gpus or 0.0, spec.memory_gb, spec.team)
 
     def _take_state(self, machine: Machine, placement: Placement, task: TaskReport, now: float) -> None:
-        term = self.term
-        if task.state != EXITED:
-            if placement.seen != task.state:
-                placement.seen = task.state
-                machine.view = None
-                job = term.jobs.get(placement.job)
-                if task.state == WAITING and job is not None:
-                    # It has its image and waits for the others of its gang: placed, but not begun.
-                    term.fleet.has_image(machine, job.spec.image)
-                if task.state == RUNNING:
-                    if placement.running_since is None:
-                        placement.running_since = now
-                    if job is not None:
-                        if not job.begun:
-                            log.info("job %s begins, %.1f s after acceptance", job.id, term.wall() - job.submitted)
-                        job.begun = True
-                        term.fleet.has_image(machine, job.spec.image)
-                        term.cluster.mark_counts(job)
-                        term.ledger.later(0.25)
+        if task.state == EXITED:
+            self._take_exit(machine, placement, task.why, now)
+        elif placement.seen != task.state:
+            placement.seen = task.state
+            machine.view = None
+            job = self.term.jobs.get(placement.job)
+            if job is not None and task.state in (WAITING, RUNNING):
+                # One that waits for the others of its gang has its image too, but has not begun.
+                self.term.fleet.has_image(machine, job.spec.image)
+            if task.state == RUNNING:
+                self._take_running(placement, job, now)
+
+    def _take_running(self, placement: Placement, job: Job | None, now: float) -> None:
+        if placement.running_since is None:
+            placement.running_since = now
+        if job is None:
             return
+        if not job.begun:
+            log.info("job %s begins, %.1f s after acceptance", job.id, self.term.wall() - job.submitted)
+        job.begun = True
+        self.term.cluster.mark_counts(job)
+        self.term.ledger.later(COUNTS_FLUSH_S)
+
+    def _take_exit(self, machine: Machine, placement: Placement, why: str | None, now: float) -> None:
+        """What follows from a task's end; of a gang that lost a task the whole comes again, at once."""
+        tasks = self.term.tasks
         placement.seen = EXITED
-        if task.why == "done":
-            term.tasks.completed(machine, placement, now)
+        if why == "done":
+            tasks.completed(machine, placement, now)
             return
-        if task.why == "error":
-            term.tasks.failed(machine, placement)
-        elif task.why == NO_ROOM:
+        if why == "error":
+            tasks.failed(machine, placement)
+        elif why == NO_ROOM:
             log.info("task %s did not fit on %s", placement.task, machine.id)
-            term.tasks.avoid(placement, machine.id, 2 * self.report_s)
-        elif task.why == UNKNOWN:
+            tasks.avoid(placement, machine.id, 2 * self.report_s)
+        elif why == UNKNOWN:
             log.info("task %s is not known to %s", placement.task, machine.id)
-            term.tasks.delay(placement.job, self.report_s / 2)
-        # Of a gang that lost a task, or did not get together, the whole comes again at once. That says nothing
-        # against this machine.
-        elif task.why == BUSY:
+            tasks.delay(placement.job, self.report_s / 2)
+        elif why == BUSY:
             # The other attempt is listed too, and is stopped as a stray; meanwhile go elsewhere.
             log.info("task %s is on %s with another attempt", placement.task, machine.id)
-            term.tasks.avoid(placement, machine.id, term.settings.workers.lease_s)
-        term.tasks.end(placement, task.why or "exited")
+            tasks.avoid(placement, machine.id, self.term.settings.workers.lease_s)
+        tasks.end(placement, why or "exited")
 
     def on_report(self, report: Report) -> dict[str, Any]:
         """Takes in a report that a worker sent, and answers it."""
@@ -202,9 +215,7 @@
         commands = self._stops(machine, renewing=True)
         if machine.trusted and term.confirmed():
             commands += self._forgets(machine)
-        if machine.trusted and not machine.sending and self._starts(machine):
-            self.send(machine)
-        elif not machine.trusted:
+        if not machine.trusted or (not machine.sending and self._starts(machine)):
             self.send(machine)
         return messages.orders(term.token, commands[:MAX_COMMANDS])
 
--- a/stileloft/coordination/election.py
+++ b/stileloft/coordination/election.py
@@ -1,5 +1,6 @@
 """Who leads: the key `leader` on a lease of the state service; its version is the token."""
 
+import contextlib
 import logging
 from collections.abc import Callable
 from typing import Any
@@ -77,10 +78,8 @@
             defer.ensureDeferred(self._end(lease))
 
     async def _end(self, lease: int) -> None:
-        try:
+        with contextlib.suppress(UnavailableError, UnknownOutcomeError):  # it ends by itself
             await self._state.end_lease(lease)
-        except (UnavailableError, UnknownOutcomeError):
-            pass  # it ends by itself
 
     async def run(self) -> None:
         """Seeks and keeps the leadership for as long as the process lives."""
@@ -109,23 +108,28 @@
     async def _seek(self) -> None:
         found = await self._state.get(records.LEADER)
         if found is not None:
-            value, version, lease = found
-            self.leader = value["member"]
-            if value["nonce"] == self._nonce and lease is not None:
-                # Our own acquisition, whose answer was lost or whose key was given up: start anew.
-                await self._state.end_lease(lease)
-                return
-            if value["member"] == self._member and lease is not None:
-                # Only one process runs as this member, so the one that held the key is over.
-                log.info("ending the lease of our former process")
-                await self._state.end_lease(lease)
-                return
-            await self._state.watch(records.LEADER, version, self.life_s * 4)
+            await self._follow(*found)
             return
         self.leader = None
         if self._clock.seconds() < self._abstain_until:
             await self._sleep(self.life_s / 8)
             return
+        await self._stand()
+
+    async def _follow(self, value: dict[str, Any], version: int, lease: int | None) -> None:
+        """Waits for the end of another's leadership, or ends what is left of one of our own."""
+        self.leader = value["member"]
+        if value["member"] != self._member or lease is None:
+            await self._state.watch(records.LEADER, version, self.life_s * 4)
+            return
+        if value["nonce"] != self._nonce:
+            # Only one process runs as this member, so the one that held the key is over.
+            log.info("ending the lease of our former process")
+        # Or else it is our own acquisition, whose answer was lost or whose key was given up: start anew.
+        await self._state.end_lease(lease)
+
+    async def _stand(self) -> None:
+        """Takes the leader key, unless another does so first."""
         sent = self._clock.seconds()
         lease = await self._state.new_lease(self.life_s)
         try:
--- a/stileloft/coordination/fleet.py
+++ b/stileloft/coordination/fleet.py
@@ -183,21 +183,36 @@
         term = self.term
         if machine.releasing:
             return
+        if machine.up_since is None:
+            self._check_boot(machine, now)
+            if machine.listed_state != "running" and not machine.placements:
+                return
+        self._end_lapsed(machine, now)
         heard = max(machine.heard_at, term.started_at)
-        if machine.up_since is None and not machine.late and self._is_late(machine, now):
-            self._came_late(machine, now)
-        if machine.up_since is None and machine.listed_state != "running" and not machine.placements:
-            if now - (machine.rented_at or machine.first_seen) > BOOT_LIMIT * self._boot_s(machine) + self.lag_s:
-                self.give_back(machine, "it did not come up")
-            return
-        if self.session_over(machine, now) and machine.placements:
-            for placement in list(machine.placements.values()):
-                term.tasks.end(placement, "its machine's lease is over")
         if now - heard > self.silent_s and not deaf:
             self.give_back(machine, f"it has been silent for {now - heard:.1f} s")
             return
         if machine.notice_until is not None:
             term.tasks.wind_down(machine, now)
+        self._check_doubts(machine, now)
+
+    def _check_boot(self, machine: Machine, now: float) -> None:
+        """A machine that is not up yet: late, or given up."""
+        if not machine.late and self._is_late(machine, now):
+            self._came_late(machine, now)
+        limit_s = BOOT_LIMIT * self._boot_s(machine) + self.lag_s
+        unused = machine.listed_state != "running" and not machine.placements
+        if unused and now - (machine.rented_at or machine.first_seen) > limit_s:
+            self.give_back(machine, "it did not come up")
+
+    def _end_lapsed(self, machine: Machine, now: float) -> None:
+        """Ends all tasks of a machine whose worker's lease is certainly over."""
+        if machine.placements and self.session_over(machine, now):
+            for placement in list(machine.placements.values()):
+                self.term.tasks.end(placement, "its machine's lease is over")
+
+    def _check_doubts(self, machine: Machine, now: float) -> None:
+        """Empties a machine where a start of a job that is over may still be executed."""
         in_doubt = [p for p in machine.placements.values() if self._in_doubt(p, machine, now)]
         if in_doubt and machine.draining is None:
             # The job is over, so the start cannot be repeated to learn of it; only the machine's end settles it.
@@ -275,9 +290,7 @@
                 now = term.clock.seconds()
                 with term.lock:
                     for machine in self.returning.values():
-                        if self.session_over(machine, now):
-                            for placement in list(machine.placements.values()):
-                                term.tasks.end(placement, "its machine's lease is over")
+                        self._end_lapsed(machine, now)
                 continue
             if not term.alive:
                 return
--- a/stileloft/coordination/node.py
+++ b/stileloft/coordination/node.py
@@ -290,7 +290,7 @@
         self.term = Term(self, token)
         self.term.begin()
 
-    def _deposed(self, reason: str) -> None:
+    def _deposed(self, _reason: str) -> None:
         if self.term is not None:
             self.term.finish()
             self.term = None
--- a/stileloft/coordination/placement.py
+++ b/stileloft/coordination/placement.py
@@ -342,72 +342,117 @@
     used.gpus += spec.gpus or 0.0
 
 
-def serve(job: Waiting, about: Round, decision: Decision, max_placed: int, max_evictions: int) -> None:
-    """Places a job's tasks; for those that fit nowhere the trials are made, or room is held."""
-    spec, snapshot = job.spec, about.snapshot
-    team = snapshot.teams.get(spec.team)
-    used = snapshot.usage.setdefault(spec.team, Usage())
-    nominated = 0
-    candidates: Candidates | None = None
-    trials: preemption.Trials | None = None
-    for index in job.tasks:
-        if len(decision.placed) >= max_placed:
-            break
-        if not within_limit(spec, team, used):
-            if job.first and spec.team not in about.saving:
-                # What its team gives up is kept for it: small tasks would take each bit as it becomes free.
-                about.saving.add(spec.team)
-                used.cpus += spec.cpus
-                used.gpus += spec.gpus or 0.0
-                hold_room(job, snapshot)
-            break
-        own = snapshot.nominations.get((spec.id, index))
-        target: Node | None = None
-        if own is not None:
-            # Its own nomination must not stand in its way.
-            about.reserved[own.machine].remove(own)
-            node = snapshot.nodes.get(own.machine)
-            if (
-                node is not None
-                and node.ready
-                and zone_allowed(spec, job.zones, node.zone)
-                and preemption.room_beside(spec, node, about.reserved[own.machine])
-            ):
-                target = node
-            elif candidates is not None and node is not None:
-                candidates.changed(own.machine)
-        if target is None and trials is None:
-            if candidates is None:
-                candidates = Candidates(job, about)
-            target = candidates.best()
+@dataclass(frozen=True, slots=True)
+class Bounds:
+    """How much one round decides at the most."""
+
+    placed: int
+    evictions: int
+
+
+class JobServer:
+    """Serves one job of a round: places its tasks, makes room for those that fit nowhere, or holds room."""
+
+    def __init__(self, job: Waiting, about: Round, decision: Decision, bounds: Bounds) -> None:
+        self._job = job
+        self._about = about
+        self._snapshot = about.snapshot
+        self._decision = decision
+        self._bounds = bounds
+        self._team = self._snapshot.teams.get(job.spec.team)
+        self._used = self._snapshot.usage.setdefault(job.spec.team, Usage())
+        self._candidates: Candidates | None = None
+        self._trials: preemption.Trials | None = None
+        self._nominated = 0
+
+    def serve(self) -> None:
+        """Serves the job's tasks in their order, as far as the round's bounds and its team's limit allow."""
+        for index in self._job.tasks:
+            if len(self._decision.placed) >= self._bounds.placed:
+                break
+            if not within_limit(self._job.spec, self._team, self._used):
+                self._save_limit()
+                break
+            if not self._serve_task(index):
+                break
+        left = self._job.count - self._nominated
+        if self._trials is not None and left > 0 and within_limit(self._job.spec, self._team, self._used):
+            self._decision.unmet.append((self._job, left))
+
+    def _save_limit(self) -> None:
+        """What its team gives up is kept for an old job: small tasks would take each bit as it becomes free."""
+        spec = self._job.spec
+        if self._job.first and spec.team not in self._about.saving:
+            self._about.saving.add(spec.team)
+            self._used.add(spec.cpus, spec.gpus or 0.0)
+            hold_room(self._job, self._snapshot)
+
+    def _serve_task(self, index: int) -> bool:
+        """Places a task, or makes room for it; returns whether the job's next task is worth looking at."""
+        own = self._snapshot.nominations.get((self._job.spec.id, index))
+        target = self._nominated_target(own)
+        if target is None and self._trials is None:
+            if self._candidates is None:
+                self._candidates = Candidates(self._job, self._about)
+            target = self._candidates.best()
         if target is not None:
-            place_task(job, index, target, about, decision)
-            if candidates is not None:
-                candidates.changed(target.id)
-            continue
+            place_task(self._job, index, target, self._about, self._decision)
+            if self._candidates is not None:
+                self._candidates.changed(target.id)
+            return True
         if own is not None:
-            about.reserved[own.machine].append(own)
-            nominated += 1
-            continue
-        if trials is None:
-            hold_room(job, snapshot)
-            avoid = job.avoid | {name for name, hold in snapshot.holds.items() if hold.owner not in ("", spec.id)}
-            trials = preemption.Trials(
-                spec, job.zones, avoid, snapshot.nodes, about.reserved, snapshot.teams, snapshot.usage, about.spares
-            )
-        if len(decision.evictions) >= max_evictions:
-            break
-        eviction = trials.best()
+            self._about.reserved[own.machine].append(own)
+            self._nominated += 1
+            return True
+        return self._make_room(index)
+
+    def _nominated_target(self, own: Nomination | None) -> Node | None:
+        """The machine that the task is nominated to, if it fits there by now."""
+        if own is None:
+            return None
+        reserved = self._about.reserved[own.machine]
+        reserved.remove(own)  # its own nomination must not stand in its way
+        node = self._snapshot.nodes.get(own.machine)
+        if node is None:
+            return None
+        spec = self._job.spec
+        there = node.ready and zone_allowed(spec, self._job.zones, node.zone)
+        if there and preemption.room_beside(spec, node, reserved):
+            return node
+        if self._candidates is not None:
+            self._candidates.changed(own.machine)
+        return None
+
+    def _make_room(self, index: int) -> bool:
+        """Nominates the task to the machine that the trials find best; returns whether there is one."""
+        if self._trials is None:
+            self._trials = self._begin_trials()
+        if len(self._decision.evictions) >= self._bounds.evictions:
+            return False
+        eviction = self._trials.best()
         if eviction is None:
-            break  # the job's other tasks are alike: no trial helps them either
-        nominate(job, index, eviction, about, decision)
-        trials.changed(eviction.machine)
+            return False  # the job's other tasks are alike: no trial helps them either
+        nominate(self._job, index, eviction, self._about, self._decision)
+        self._trials.changed(eviction.machine)
         if any(task.together > 1 for task in eviction.victims):
-            trials.forget()  # a gang has gone from other machines too
-        nominated += 1
-    left = job.count - nominated
-    if trials is not None and left > 0 and within_limit(spec, team, used):
-        decision.unmet.append((job, left))
+            self._trials.forget()  # a gang has gone from other machines too
+        self._nominated += 1
+        return True
+
+    def _begin_trials(self) -> preemption.Trials:
+        job, snapshot, about = self._job, self._snapshot, self._about
+        hold_room(job, snapshot)
+        held = {name for name, hold in snapshot.holds.items() if hold.owner not in ("", job.spec.id)}
+        return preemption.Trials(
+            job.spec,
+            job.zones,
+            job.avoid | held,
+            snapshot.nodes,
+            about.reserved,
+            snapshot.teams,
+            snapshot.usage,
+            about.spares,
+        )
 
 
 def decide(snapshot: Snapshot, max_placed: int, max_evictions: int) -> Decision:
@@ -433,10 +478,11 @@
         ),
         preemption.Spares(nodes),
     )
+    bounds = Bounds(max_placed, max_evictions)
     for job in sorted(snapshot.waiting, key=lambda job: order_key(job, snapshot, snapshot.usage)):
         about.narrow(len(decision.placed))
         if not job.spec.is_gang:
-            serve(job, about, decision, max_placed, max_evictions)
+            JobServer(job, about, decision, bounds).serve()
         else:
             serve_gang(job, about, decision)
     return decision
--- a/stileloft/coordination/preemption.py
+++ b/stileloft/coordination/preemption.py
@@ -96,40 +96,56 @@
     needed = beside(spec, nominated)
     # Work that is borrowed may go at the task's own rank too.
     owed = within_guarantee(spec, teams.get(spec.team), usage.get(spec.team, Usage()))
-    most = node.spare(spec.rank + 1 if owed else spec.rank)
-    if needed[0] > most[0] + EPSILON or needed[1] > most[1] + EPSILON or needed[2] > most[2] + EPSILON:
+    if not _covers(node.spare(spec.rank + 1 if owed else spec.rank), needed):
         return None
-    cpus, gpus, memory_gb = node.cpus, node.gpus, node.memory_gb
-
-    def move(victim: Victim, sign: int) -> bool:
-        """Whether the task fits after one more is removed (1) or returned (-1)."""
-        nonlocal cpus, gpus, memory_gb
-        for task in victim:
-            cpus += sign * task.cpus
-            gpus += sign * task.gpus
-            memory_gb += sign * task.memory_gb
-        return needed[0] <= cpus + EPSILON and needed[1] <= gpus + EPSILON and needed[2] <= memory_gb + EPSILON
-
+    room = _TrialRoom(node, needed)
     fits = room_beside(spec, node, nominated)
     for task in node.tasks:
         if task.leaving:
-            fits = move([task], 1)
+            fits = room.remove([task])
     removed: list[Victim] = []
     if not fits:
         for victim in candidates(spec, node, teams, usage):
             removed.append(victim)
-            fits = move(victim, 1)
+            fits = room.remove(victim)
             if fits:
                 break
     if not fits:
         return None
-    victims: list[Running] = []
     # Return what can be returned, the most valuable first.
-    for victim in reversed(removed):
-        if not move(victim, -1):
-            move(victim, 1)
-            victims += victim
-    return victims
+    return [task for victim in reversed(removed) if not room.try_to_return(victim) for task in victim]
+
+
+def _covers(room: Room, needed: Room) -> bool:
+    return needed[0] <= room[0] + EPSILON and needed[1] <= room[1] + EPSILON and needed[2] <= room[2] + EPSILON
+
+
+class _TrialRoom:
+    """What is free on a machine's copy while tasks are removed from it and returned."""
+
+    def __init__(self, node: Node, needed: Room) -> None:
+        self._room: Room = (node.cpus, node.gpus, node.memory_gb)
+        self._needed = needed
+
+    def remove(self, victim: Victim) -> bool:
+        """Takes tasks off the copy; returns whether there is enough room now."""
+        cpus, gpus, memory_gb = self._room
+        for task in victim:
+            cpus, gpus, memory_gb = cpus + task.cpus, gpus + task.gpus, memory_gb + task.memory_gb
+        self._room = (cpus, gpus, memory_gb)
+        return _covers(self._room, self._needed)
+
+    def try_to_return(self, victim: Victim) -> bool:
+        """Puts tasks back, unless that breaks the fit."""
+        before = self._room
+        cpus, gpus, memory_gb = before
+        for task in victim:
+            cpus, gpus, memory_gb = cpus - task.cpus, gpus - task.gpus, memory_gb - task.memory_gb
+        self._room = (cpus, gpus, memory_gb)
+        if _covers(self._room, self._needed):
+            return True
+        self._room = before
+        return False
 
 
 def loss(victims: list[Running]) -> tuple[float, int, float, int]:
--- a/stileloft/protocol/admin.py
+++ b/stileloft/protocol/admin.py
@@ -73,20 +73,20 @@
             return {"GET": self.show, "PUT": self.change}, {}
         return None
 
-    def status(self, body: Any, arguments: dict[str, str]) -> Answer | Awaitable[Answer]:
+    def status(self, _body: Any, _arguments: dict[str, str]) -> Answer | Awaitable[Answer]:
         return Answer(200, self._node.status())
 
-    def view(self, body: Any, arguments: dict[str, str]) -> Answer | Awaitable[Answer]:
+    def view(self, _body: Any, _arguments: dict[str, str]) -> Answer | Awaitable[Answer]:
         return Answer(200, msgspec.to_builtins(self._node.view()))
 
-    async def show(self, body: Any, arguments: dict[str, str]) -> Answer:
+    async def show(self, _body: Any, _arguments: dict[str, str]) -> Answer:
         try:
             settings, version = await self._node.read_settings()
         except TemporarilyUnavailableError as error:
             return retry_later(503, str(error), 1)
         return Answer(200, {"version": version, "settings": msgspec.to_builtins(settings)})
 
-    async def change(self, body: Any, arguments: dict[str, str]) -> Answer:
+    async def change(self, body: Any, _arguments: dict[str, str]) -> Answer:
         """Replaces the settings if they are still those of the version that the caller read."""
         if not isinstance(body, dict) or type(body.get("version")) is not int or body["version"] < 0:
             return Answer(400, {"error": "version: a whole number, as `GET /settings` gave it, is required"})
--- a/stileloft/protocol/state.py
+++ b/stileloft/protocol/state.py
@@ -134,8 +134,7 @@
             if revision is None:
                 # Changes during later pages are seen again by a watch from here.
                 revision = reply.body["epoch"]
-            for item in reply.body["pairs"]:
-                items.append((item["path"], item["v"], item["stamp"]))
+            items.extend((item["path"], item["v"], item["stamp"]) for item in reply.body["pairs"])
             if not reply.body.get("more") or not reply.body["pairs"]:
                 return items, revision
             after = items[-1][0]
--- a/stileloft/protocol/users.py
+++ b/stileloft/protocol/users.py
@@ -58,14 +58,14 @@
             return {"POST": self.cancel}, {"job": found.group(1)}
         return None
 
-    def checkin(self, body: Any, arguments: dict[str, str]) -> Answer:
+    def checkin(self, body: Any, _arguments: dict[str, str]) -> Answer:
         try:
             report = parse_report(body)
         except MalformedError as error:
             return Answer(400, {"error": str(error)})
         return self._report(report)
 
-    def health(self, body: Any, arguments: dict[str, str]) -> Answer:
+    def health(self, _body: Any, _arguments: dict[str, str]) -> Answer:
         if self._healthy():
             return Answer(200, {"ok": True})
         return retry_later(503, "not ready", 1)
@@ -79,7 +79,7 @@
         except self._impossible as error:
             return Answer(422, {"error": str(error)})
 
-    def submit(self, body: Any, arguments: dict[str, str]) -> Answer | Awaitable[Answer]:
+    def submit(self, body: Any, _arguments: dict[str, str]) -> Answer | Awaitable[Answer]:
         try:
             spec = parse_job(body)
         except MalformedError as error:
@@ -91,10 +91,10 @@
 
         return self._asked(asked())
 
-    def status(self, body: Any, arguments: dict[str, str]) -> Answer | Awaitable[Answer]:
+    def status(self, _body: Any, arguments: dict[str, str]) -> Answer | Awaitable[Answer]:
         return self._about(arguments["job"], self._service.status)
 
-    def cancel(self, body: Any, arguments: dict[str, str]) -> Answer | Awaitable[Answer]:
+    def cancel(self, _body: Any, arguments: dict[str, str]) -> Answer | Awaitable[Answer]:
         return self._about(arguments["job"], self._service.cancel)
 
     def _about(self, job: str, ask: Callable[[str], Awaitable[dict[str, Any] | None]]) -> Answer | Awaitable[Answer]:
--- a/stileloft/transport/server.py
+++ b/stileloft/transport/server.py
@@ -69,7 +69,7 @@
         encode: Callable[[Any], bytes],
         decode: Callable[[bytes], Any],
         media: str,
-        keep: Callable[[str], bool] = lambda path: True,
+        keep: Callable[[str], bool] = lambda _path: True,
     ) -> None:
         super().__init__()
         self._match = match
@@ -150,5 +150,5 @@
 def make_site(router: Router, idle_s: float) -> server.Site:
     # Bodies are never forms; looking for some would take a third of the time of a worker's report.
     site: Any = server.Site(router, requestFactory=LimitedRequest, timeout=idle_s, parsePOSTFormSubmission=False)
-    site.log = lambda request: None  # every line costs; failures are logged where they happen
+    site.log = lambda _request: None  # every line costs; failures are logged where they happen
     return site
--- a/tests/plain.py
+++ b/tests/plain.py
@@ -267,7 +267,7 @@
     return found
 
 
-def decide(
+def decide(  # noqa: C901, PLR0912, PLR0915 - the model is one list of steps
     snapshot: Snapshot, max_placed: int, max_evictions: int
 ) -> tuple[list[tuple[TaskKey, str]], list[tuple[TaskKey, str, list[TaskKey]]], dict[str, int]]:
     """Placements, evictions and what is unmet."""
--- a/tests/rules.py
+++ b/tests/rules.py
@@ -90,7 +90,7 @@
     def is_final(self, job: str) -> bool:
         return self.last.get(job) in ("done", "aborted")
 
-    def told(self, job: str, answer: dict[str, Any] | None, asked_at: float = math.inf) -> None:
+    def told(self, job: str, answer: dict[str, Any] | None, asked_at: float = math.inf) -> None:  # noqa: C901 - one case a rule
         """An answer that some node gave now to a question of then; the nodes are not told apart.
 
         What any of them has said by the time of a question binds all of them in their answer.
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -5,6 +5,7 @@
 """
 
 import bisect
+import contextlib
 import json
 import math
 import random
@@ -185,7 +186,7 @@
         if self.items.pop(key, None) is not None:
             self.changes.append((key, None, self.revision))
 
-    def handle(self, caller: str, method: str, path: str, body: Any) -> Any:
+    def handle(self, caller: str, method: str, path: str, body: Any) -> Any:  # noqa: C901, PLR0911 - one case a request
         if self.down_for(caller) and not path.startswith("/watch"):
             return Reply(503, {"error": "trouble"})
         changes = len(body["writes"]) if path == "/commit" else 0
@@ -334,7 +335,7 @@
         self.world.clock.callLater(2.0 * self.world.random.uniform(0.75, 1.25), self.loop)
         self.send_report()
 
-    def send_report(self) -> None:
+    def send_report(self) -> None:  # noqa: C901 - one case an answer
         if self.gone or self.hung or not self.up or self.reporting:
             return
         self.reporting = True
@@ -625,7 +626,7 @@
             )
         )
 
-    def handle(self, caller: str, method: str, path: str, body: Any) -> Reply:
+    def handle(self, _caller: str, _method: str, path: str, body: Any) -> Reply:
         if self.world.now < self.down_until:
             return Reply(503, {"error": "trouble"})
         if path == "/machine_types":
@@ -689,7 +690,7 @@
     ) -> None:
         self.world, self.name, self.process, self.idle_s, self.keep = world, name, process, idle_s, keep
 
-    async def request(self, method: str, address: str, path: str, body: Any, timeout_s: float) -> Reply:
+    async def request(self, method: str, address: str, path: str, body: Any, timeout_s: float) -> Reply:  # noqa: C901 - one case a target
         world = self.world
         target = {"10.9.0.1:1": "state", "10.9.0.2:1": "cloud"}.get(address, address.partition(":")[0])
         if address.endswith(":8081"):
@@ -744,7 +745,7 @@
         self.calls.sort(key=base.DelayedCall.getTime)
 
     def callLater(self, delay: float, callable: Callable[..., Any], *args: Any, **kw: Any) -> Any:
-        call = base.DelayedCall(self.seconds() + delay, callable, args, kw, lambda call: None, self._sort, self.seconds)
+        call = base.DelayedCall(self.seconds() + delay, callable, args, kw, lambda _: None, self._sort, self.seconds)
         bisect.insort(self.calls, call, key=base.DelayedCall.getTime)
         return call
 
@@ -894,7 +895,7 @@
 
         def on_elected(token: int) -> None:
             elected(token)
-            self.new_leader(name, number)
+            self.new_leader(name)
 
         node.election._on_elected = on_elected
         self.nodes[name] = node
@@ -945,10 +946,9 @@
         answered: defer.Deferred = defer.Deferred()
 
         def later() -> None:
-            try:
+            # Else the connection was reset: nobody waits any more.
+            with contextlib.suppress(ConnectionFailedError, NoResponseError):
                 answered.callback(work())
-            except (ConnectionFailedError, NoResponseError):
-                pass  # the connection was reset: nobody waits any more
 
         self.awake(name, later)
         return answered
@@ -965,7 +965,7 @@
         answer = node.report(self.versions[name].messages.parse_report(body))
         return Reply(answer.status, messages.decode(messages.encode(answer.body)))
 
-    def new_leader(self, name: str, number: int) -> None:
+    def new_leader(self, name: str) -> None:
         """A leader's first moments: what was kept for it comes to all controllers."""
         for tell in self.on_leader:
             tell(name)
@@ -994,7 +994,7 @@
 
         self.clock.callLater(seconds + 0.001, heal)
 
-    def send(self, source: str, target: str, work: Callable[[], Any]) -> defer.Deferred:
+    def send(self, source: str, target: str, work: Callable[[], Any]) -> defer.Deferred:  # noqa: C901 - one case a trouble
         """A request and its answer; the caller may give up on it, which does not take it back."""
         answered: defer.Deferred = defer.Deferred()
         pair = frozenset((source, target))
@@ -1033,10 +1033,8 @@
                 back(result)
 
         def repeat() -> None:
-            try:
+            with contextlib.suppress(ConnectionFailedError, NoResponseError):
                 work()
-            except (ConnectionFailedError, NoResponseError):
-                pass
 
         cut = self.cut_now(pair)
         if cut is not None:
@@ -1123,9 +1121,9 @@
                 self.rules.answered(job)
                 told(job, result)
 
-        self.awake(name, lambda: defer.ensureDeferred(ask(node)).addCallbacks(answer, lambda failure: None))
+        self.awake(name, lambda: defer.ensureDeferred(ask(node)).addCallbacks(answer, lambda _: None))
 
-    def _accepted(self, job: str, result: tuple[bool, dict[str, Any]]) -> None:
+    def _accepted(self, job: str, _result: tuple[bool, dict[str, Any]]) -> None:
         self.look_closely(job)
         self._poll(job)
 
@@ -1158,7 +1156,7 @@
             if self.processes[name] == number:
                 self.rules.told(job, result[1] if isinstance(result, tuple) else result, asked_at)
 
-        self.awake(name, lambda: defer.ensureDeferred(ask(node)).addCallbacks(answer, lambda failure: None))
+        self.awake(name, lambda: defer.ensureDeferred(ask(node)).addCallbacks(answer, lambda _: None))
 
     @staticmethod
     def _question(job: str) -> Callable[[Node], Any]:
--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -352,7 +352,7 @@
 
 
 def test_the_checker_sees_a_leader_that_answers_without_a_bound(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(Term, "may_renew", lambda term: True)
+    monkeypatch.setattr(Term, "may_renew", lambda _: True)
     broken = [line for seed in (1, 2, 3) for line in graces_in_a_row(seed, 0.012).rules.broken]
     assert any("ran_cancelled" in line for line in broken)
 
@@ -738,7 +738,7 @@
 
 
 def test_the_checker_sees_an_impossible_job_that_is_accepted(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr("stileloft.coordination.admission.why_impossible", lambda *arguments: None)
+    monkeypatch.setattr("stileloft.coordination.admission.why_impossible", lambda *_: None)
     world = World(seed=1)
     world.run(5)
     odd_requests(world)
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -319,7 +319,7 @@
 class SameLength(dict):
     """All tasks take eight seconds on a good machine."""
 
-    def setdefault(self, name: str, length: float) -> float:  # type: ignore[override]
+    def setdefault(self, _name: str, _length: float) -> float:  # type: ignore[override]
         return 8.0
 
 
@@ -400,7 +400,7 @@
 
 def test_the_checker_sees_unserved_and_forgotten_jobs(monkeypatch: pytest.MonkeyPatch) -> None:
     """Without ageing the overload keeps old jobs out; a node that answers no question about one job forgets it."""
-    monkeypatch.setattr(SnapshotBuilder, "_aged", lambda builder, job, after_s: False)
+    monkeypatch.setattr(SnapshotBuilder, "_aged", lambda *_: False)
     world = overloaded(4)
 
     plain = Admission.status
@@ -489,7 +489,7 @@
 
 def test_the_checker_sees_a_broken_rule(monkeypatch: pytest.MonkeyPatch) -> None:
     """Without the wait for a silent machine's lease the checker must object."""
-    monkeypatch.setattr(Fleet, "session_over", lambda fleet, machine, now: now - machine.heard_at > 3.0)
+    monkeypatch.setattr(Fleet, "session_over", lambda _, machine, now: now - machine.heard_at > 3.0)
     world = World(seed=7)
     load(world)
     world.clock.callLater(35.0, hang(10.0), world)
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -104,7 +104,7 @@
     retry_after_s = 2.0
 
 
-class Never(Exception):
+class NeverError(Exception):
     pass
 
 
@@ -115,7 +115,7 @@
         if spec.id == "j-503":
             raise TemporarilyUnavailableError("later")
         if spec.id == "j-422":
-            raise Never("too large")
+            raise NeverError("too large")
         return spec.id == "j-201", messages.state_answer(spec.id, "queued")
 
     async def status(self, job):
@@ -127,14 +127,14 @@
         return messages.state_answer(job, "cancelled")
 
 
-def exchange(data: bytes, keep: Callable[[str], bool] = lambda path: True) -> tuple[int, dict[str, str], bytes]:
+def exchange(data: bytes, keep: Callable[[str], bool] = lambda _: True) -> tuple[int, dict[str, str], bytes]:
     public = PublicResources(
-        Service(), lambda report: Answer(421, {"steward": "node-1"}), lambda: True, TemporarilyUnavailableError, Never
+        Service(), lambda _: Answer(421, {"steward": "node-1"}), lambda: True, TemporarilyUnavailableError, NeverError
     )
     site = make_site(Router(public.match, messages.encode, messages.decode, "application/cbor", keep), 60.0)
     channel = site.buildProtocol(None)
     transport = StringTransport()
-    transport.setTcpNoDelay = lambda on: None  # type: ignore[attr-defined]
+    transport.setTcpNoDelay = lambda _: None  # type: ignore[attr-defined]
     channel.makeConnection(transport)
     channel.dataReceived(data)
     head, _, body = transport.value().partition(b"\r\n\r\n")
--- a/tests/test_size.py
+++ b/tests/test_size.py
@@ -108,14 +108,14 @@
 
 
 @pytest.mark.parametrize("keeps", [False, True])
-def test_half_as_many_machines_again_as_the_fleet(keeps: bool, monkeypatch: pytest.MonkeyPatch) -> None:
+def test_half_as_many_machines_again_as_the_fleet(keeps: bool, monkeypatch: pytest.MonkeyPatch) -> None:  # noqa: C901 - a day and its counts
     """A burst, half of the machines lost at once, and all controllers restarted: what is open and asked for is bounded.
 
     With `keeps`, idle connections to workers are never given up, and the checker must object.
     """
     machines = 942
     if keeps:
-        monkeypatch.setattr(Sockets, "keep_commands", lambda sockets: True)
+        monkeypatch.setattr(Sockets, "keep_commands", lambda _: True)
     world = LargeWorld(seed=24, capacity=machines, loss=0.0)
     for number in range(machines):
         machine = world.cloud.add(TYPES[0], "ab"[number % 2], True)
