--- a/stileloft/bookkeeping/model.py
+++ b/stileloft/bookkeeping/model.py
@@ -244,7 +244,7 @@
         self.inline_value = value.get(records.INLINE_CHUNK)
         self.done_chunks = records.from_ranges(value["f"])
         self.stopped_for_others = max(self.stopped_for_others, value.get("e", 0))
-        self.counts_stored = tuple(value["c"])  # type: ignore[assignment]
+        self.counts_stored = tuple(value["c"])
         self.begun = self.begun or any(self.counts_stored)
 
     def load_chunks(self, items: list[tuple[str, Any, int]]) -> None:
--- a/stileloft/coordination/admission.py
+++ b/stileloft/coordination/admission.py
@@ -104,7 +104,7 @@
         self._value_bytes = value_bytes
         # Only final answers may come from memory: nothing can make them older.
         self._final: OrderedDict[str, dict[str, Any]] = OrderedDict()
-        self._gathered: list[defer.Deferred] = []
+        self._gathered: list[defer.Deferred[dict[str, Any]]] = []
         """Questions that wait for the next read that is shared."""
 
     async def submit(self, spec: JobSpec) -> tuple[bool, dict[str, Any]]:
@@ -161,9 +161,9 @@
         except (UnavailableError, UnknownOutcomeError) as error:
             raise self._failed(error, self._reads, 1.0) from None
 
-    def _read_together(self) -> defer.Deferred:
+    def _read_together(self) -> defer.Deferred[dict[str, Any]]:
         """All unfinished jobs, as read after now. Many users asking often must not take what the leader needs."""
-        waiting: defer.Deferred = defer.Deferred()
+        waiting: defer.Deferred[dict[str, Any]] = defer.Deferred()
         self._gathered.append(waiting)
         if len(self._gathered) == 1:
             self._clock.callLater(GATHER_S, lambda: defer.ensureDeferred(self._read_all()))
--- a/stileloft/coordination/election.py
+++ b/stileloft/coordination/election.py
@@ -16,6 +16,7 @@
     UnavailableError,
     UnknownOutcomeError,
 )
+from stileloft.transport.clock import Clock
 
 log = logging.getLogger(__name__)
 
@@ -28,7 +29,7 @@
 
     def __init__(
         self,
-        clock: Any,
+        clock: Clock,
         state: StateClient,
         member: str,
         nonce: str,
@@ -96,8 +97,8 @@
                 log.exception("election")
                 await self._sleep(self.life_s / 4)
 
-    def _sleep(self, seconds: float) -> defer.Deferred:
-        done: defer.Deferred = defer.Deferred()
+    def _sleep(self, seconds: float) -> defer.Deferred[None]:
+        done: defer.Deferred[None] = defer.Deferred()
         self._clock.callLater(seconds, done.callback, None)
         return done
 
--- a/stileloft/coordination/entries.py
+++ b/stileloft/coordination/entries.py
@@ -160,7 +160,8 @@
         # Each time the counts are told is a change more, so less often while the budget is short.
         writes = self._term.writes
         every_s = COUNTS_S if writes.level() > writes.per_s / 2 else LATE_S
-        return self._term.clock.seconds() - job.counts_at > every_s
+        now: float = self._term.clock.seconds()
+        return now - job.counts_at > every_s
 
     def _at_leisure(self) -> bool:
         """Whether there are changes to spare for what nothing waits for."""
--- a/stileloft/coordination/job_watch.py
+++ b/stileloft/coordination/job_watch.py
@@ -41,7 +41,8 @@
 
     def staleness_s(self) -> float:
         """Seconds since we last knew of all cancellations; without end before the store was read."""
-        return self._term.clock.seconds() - self.informed_at
+        now: float = self._term.clock.seconds()
+        return now - self.informed_at
 
     def is_fresh(self) -> bool:
         """Whether we hear of cancellations, so that nothing is started of a job that is long over."""
--- a/stileloft/coordination/node.py
+++ b/stileloft/coordination/node.py
@@ -234,7 +234,8 @@
 
     def served(self) -> bool:
         """Whether the state service has executed a request of ours lately."""
-        return self.reactor.seconds() - self.state.served_at < SERVED_S
+        now: float = self.reactor.seconds()
+        return now - self.state.served_at < SERVED_S
 
     async def _served_loop(self) -> None:
         """Finds out whether the state service serves the others and not us.
@@ -264,12 +265,12 @@
             except Exception:
                 log.exception("asking the state service")
 
-    def sleep(self, seconds: float) -> defer.Deferred:
-        done: defer.Deferred = defer.Deferred()
+    def sleep(self, seconds: float) -> defer.Deferred[None]:
+        done: defer.Deferred[None] = defer.Deferred()
         self.reactor.callLater(seconds, done.callback, None)
         return done
 
-    def in_thread(self, function: Any, *arguments: Any) -> defer.Deferred:
+    def in_thread(self, function: Any, *arguments: Any) -> defer.Deferred[Any]:
         return threads.deferToThread(function, *arguments)
 
     def healthy(self) -> bool:
--- a/stileloft/coordination/snapshot_builder.py
+++ b/stileloft/coordination/snapshot_builder.py
@@ -115,7 +115,7 @@
 
     def _view(self, machine: Machine, kind: MachineType, now: float) -> Node:
         """The machine's copy for the decisions; made anew when it has changed, or its times have become old."""
-        view = machine.view
+        view: Node | None = machine.view
         if view is None or now - machine.view_at > VIEW_S or view.type is not kind:
             view = self._node(machine, kind, now)
             machine.view, machine.view_at = view, now
--- a/stileloft/logs.py
+++ b/stileloft/logs.py
@@ -16,5 +16,5 @@
     root.setLevel(level)
     # Where a line was logged from and by which thread is not in the format;
     # looking it up for every line costs processor time that is scarce here.
-    logging._srcfile = None  # type: ignore[attr-defined]
+    logging._srcfile = None
     logging.logThreads = logging.logProcesses = logging.logMultiprocessing = False
--- a/stileloft/protocol/cloud.py
+++ b/stileloft/protocol/cloud.py
@@ -4,7 +4,7 @@
 
 from stileloft.protocol.messages import ListedMachine, MachineType
 from stileloft.protocol.state import Budget
-from stileloft.transport.client import Client, ConnectionFailedError, NoResponseError
+from stileloft.transport.client import Client, ConnectionFailedError, NoResponseError, Reply
 
 RENT_LIMIT = 50
 RELEASE_LIMIT = 100
@@ -25,7 +25,7 @@
         self._timeout_s = timeout_s
         self._budget = budget
 
-    async def _ask(self, method: str, path: str, body: object = None):
+    async def _ask(self, method: str, path: str, body: object = None) -> Reply:
         if not self._budget.take():
             raise CloudError("own budget spent")
         try:
--- a/stileloft/protocol/messages.py
+++ b/stileloft/protocol/messages.py
@@ -125,7 +125,9 @@
 
 
 def job_to_wire(spec: JobSpec) -> dict[str, Any]:
-    return msgspec.to_builtins(spec)
+    """A job's description, as it is stored and sent."""
+    wire: dict[str, Any] = msgspec.to_builtins(spec)
+    return wire
 
 
 def job_from_wire(stored: dict[str, Any]) -> JobSpec:
--- a/stileloft/protocol/state.py
+++ b/stileloft/protocol/state.py
@@ -153,7 +153,7 @@
         body = {"guards": [{"path": key, "stamp": version} for key, version in guards.items()], "writes": writes}
         reply = await self._ask("POST", "/commit", body)
         if reply.status == 200:
-            return reply.body["epoch"]
+            return int(reply.body["epoch"])
         if reply.status == 409:
             raise ConflictError(list(reply.body.get("failed", [])))
         if reply.status == 400 and lease is not None:
@@ -166,7 +166,7 @@
         reply = await self._ask("POST", "/holds", {"lifeMs": int(life_s * 1000)}, life_s / 2)
         if reply.status != 200:
             raise UnavailableError(f"status {reply.status}")
-        return reply.body["hold"]
+        return int(reply.body["hold"])
 
     async def renew(self, lease: int, timeout_s: float) -> None:
         reply = await self._ask("POST", f"/holds/{lease}/extend", {}, timeout_s)
--- a/stileloft/transport/client.py
+++ b/stileloft/transport/client.py
@@ -27,7 +27,7 @@
         self.data = data
         self.length = len(data)
 
-    def startProducing(self, consumer: Any) -> defer.Deferred:
+    def startProducing(self, consumer: Any) -> defer.Deferred[None]:
         consumer.write(self.data)
         return defer.succeed(None)
 
--- a/stileloft/transport/server.py
+++ b/stileloft/transport/server.py
@@ -151,4 +151,5 @@
     # Bodies are never forms; looking for some would take a third of the time of a worker's report.
     site: Any = server.Site(router, requestFactory=LimitedRequest, timeout=idle_s, parsePOSTFormSubmission=False)
     site.log = lambda _request: None  # every line costs; failures are logged where they happen
-    return site
+    made: server.Site = site
+    return made
