A new leader takes no machine that is up for late

Since that has consequences: zones were distrusted for nothing, and idle machines returned. Change: what the cloud lists as running is not late, and for nothing else it is said before the leader has had the time in which a silent machine is given up.

--- a/stileloft/coordination/fleet.py
+++ b/stileloft/coordination/fleet.py
@@ -233,7 +233,13 @@
         )
 
     def _is_late(self, machine: Machine, now: float) -> bool:
-        """Whether a machine should be up by now."""
+        """Whether a machine should be up by now.
+
+        One that is listed as running is up, and reports to us soon if we have just begun, or is silent. Of the others
+        a new leader can't say so before they had the time to come to it.
+        """
+        if machine.listed_state == "running" or now - self.term.started_at < self.silent_s:
+            return False
         return now - (machine.rented_at or machine.first_seen) > LATE_BOOTS * self._boot_s(machine)
 
     def _came_late(self, machine: Machine, now: float) -> None:
--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -871,3 +871,22 @@
     world.run(100)
     leader = world.nodes[world.leader()]
     assert set(world.cloud.machines) == set(leader.term.machines) and len(world.cloud.machines) <= 6
+
+
+def test_a_new_leader_takes_no_machine_that_is_up_for_late() -> None:
+    """It has heard of none yet. Taken for late, they would be replaced, or returned if idle (inc-e1be)."""
+    world = World(seed=13, loss=0.0, capacity=8)
+    world.submit(world.job(1, pieces=8, vcpus=4.0, guessS=120.0))
+    while len(world.rules.where) < 8:
+        world.run(1)
+    world.run(25)  # so that all are older than a boot may take
+    for _ in range(3):
+        before = set(world.cloud.machines)
+        crash_leader(world)
+        world.run(6)
+        term = world.nodes[world.leader()].term
+        assert [machine.id for machine in term.machines.values() if machine.late and machine.listed_state] == []
+        assert term.fleet.distrusted_now() == set()
+        assert before <= set(world.cloud.machines) and len(world.cloud.machines) <= len(before) + 3
+    finish(world)
+    assert world.rules.broken == []
