Tests: the fakes in modules, the reference model and the overlapping faults under the field's names

Change: tests/simulation/ has a module each for the state service, cloud, workers, gangs, clients, processes, network, users and controllers; tests/plain.py is tests/reference_model.py, tests/test_meetings.py is tests/test_overlapping_faults.py. Bodies are unchanged.

--- a/tests/rules.py
+++ b/tests/rules.py
@@ -4,7 +4,8 @@
 from typing import TYPE_CHECKING, Any
 
 if TYPE_CHECKING:
-    from tests.standins import Machine, World
+    from tests.simulation.workers import Machine
+    from tests.simulation.world import World
 
 LIMITS = {"core": 48.0, "edge": 40.0, "guest": 64.0}
 CANCEL_S = 30.0
--- /dev/null
+++ b/tests/simulation/clients.py
@@ -0,0 +1,76 @@
+"""What a controller has in place of the pooled HTTP client."""
+
+import math
+from collections.abc import Callable
+from typing import TYPE_CHECKING, Any
+
+import msgspec
+from twisted.internet import defer
+
+from stileloft.protocol import messages
+from stileloft.transport.client import ConnectionFailedError, NoResponseError, Reply
+
+if TYPE_CHECKING:
+    from tests.simulation.world import World
+
+
+class Connection:
+    """What a node has in place of the pooled client; bodies go through the real encoding."""
+
+    def __init__(
+        self,
+        world: "World",
+        name: str,
+        process: int,
+        idle_s: float = 60.0,
+        keep: Callable[[], bool] = lambda: True,
+        **_: Any,
+    ) -> None:
+        self.world, self.name, self.process, self.idle_s, self.keep = world, name, process, idle_s, keep
+
+    async def request(self, method: str, address: str, path: str, body: Any, timeout_s: float) -> Reply:  # noqa: C901 - one case a target
+        world = self.world
+        target = {"10.9.0.1:1": "state", "10.9.0.2:1": "cloud"}.get(address, address.partition(":")[0])
+        if address.endswith(":8081"):
+            target = world.names[int(address.split(":")[0].split(".")[-1])]
+        version = world.versions[self.name]
+        if world.processes[self.name] != self.process:
+            await defer.Deferred()  # the process is over: nothing goes on in it
+        sent = messages.decode(messages.encode(body)) if body is not None else None
+
+        def work() -> Any:
+            if target == "state":
+                return world.state.ask(self.name, method, path, sent)
+            if target == "cloud":
+                return world.cloud.handle(self.name, method, path, sent)
+            if target in world.names:
+                peer = world.nodes[target]
+                if peer is None or world.now < world.peers_refuse:
+                    raise ConnectionFailedError("no process, or a filter")
+                return world.to_node(target, lambda: Reply(200, msgspec.to_builtins(peer.view())))
+            machine = world.every_machine[target]
+            if machine.gone or not machine.up:
+                raise NoResponseError("silence")
+            return machine.command(sent)
+
+        keep = self.keep()
+        connections = world.connections[self.name]
+        connections[address] = math.inf
+        waiting = world.send(self.name, target, work)
+        timer = world.clock.callLater(timeout_s, world.awake, self.name, waiting.cancel)
+        try:
+            reply = await waiting
+        except ConnectionFailedError as error:
+            raise version.connection_failed(str(error)) from None
+        except NoResponseError as error:
+            raise version.no_response(str(error)) from None
+        except defer.CancelledError:
+            raise version.no_response("timeout") from None
+        finally:
+            if timer.active():
+                timer.cancel()
+            connections[address] = world.now + self.idle_s if keep else 0.0
+        if world.processes[self.name] != self.process:
+            await defer.Deferred()
+        body_back = messages.decode(messages.encode(reply.body)) if reply.body is not None else None
+        return Reply(reply.status, body_back)
--- /dev/null
+++ b/tests/simulation/cloud.py
@@ -0,0 +1,97 @@
+"""The cloud: rentals, returns, and a list that lags."""
+
+from typing import TYPE_CHECKING, Any
+
+from stileloft.transport.client import Reply
+from tests.simulation.deployment import TYPES
+from tests.simulation.workers import Machine
+
+if TYPE_CHECKING:
+    from tests.simulation.world import World
+
+
+class Cloud:
+    def __init__(self, world: "World", capacity: int) -> None:
+        self.world = world
+        self.capacity = capacity
+        self.most = 1000
+        """Machines of all kinds together."""
+        self.kinds = {kind["label"] for kind in TYPES}
+        """Types of which there are any."""
+        self.machines: dict[str, Machine] = {}
+        self.requests: dict[str, list[str]] = {}
+        self.history: list[tuple[float, list[dict[str, Any]]]] = []
+        self.down_until = 0.0
+        self.boots_until = 0.0
+        self.boots = (0.0, 0.0, 0.0)
+        """Until then: the share of machines that never come up, that of late ones, and how long a boot takes."""
+        self.loop()
+
+    def loop(self) -> None:
+        self.world.clock.callLater(1.0, self.loop)
+        self.history.append(
+            (
+                self.world.now,
+                [
+                    {
+                        "nameId": m.name,
+                        "endpoint": m.address,
+                        "build": m.kind["label"],
+                        "yard": m.zone,
+                        "loaner": m.spot,
+                        "phase": "running" if m.up else "starting",
+                        "ageS": self.world.now - m.rented,
+                    }
+                    for m in self.machines.values()
+                ],
+            )
+        )
+
+    def handle(self, _caller: str, _method: str, path: str, body: Any) -> Reply:
+        if self.world.now < self.down_until:
+            return Reply(503, {"error": "trouble"})
+        if path == "/machine_types":
+            return Reply(200, {"builds": TYPES})
+        if path == "/hosts/release":
+            for name in body["hosts"]:
+                machine = self.machines.pop(name, None)
+                if machine is not None:
+                    machine.die()
+            return Reply(200, {})
+        if path == "/hosts":
+            return self.rent(body)
+        lag = 5.0 * self.world.random.uniform(0.5, 2.0)
+        shown = [listed for at, listed in self.history if at <= self.world.now - lag]
+        return Reply(200, {"hosts": shown[-1] if shown else [], "more": False})
+
+    def rent(self, body: Any) -> Reply:
+        if body["hire"] in self.requests:
+            return Reply(200, {"hosts": self.requests[body["hire"]]})
+        kind = next(k for k in TYPES if k["label"] == body["build"])
+        present = [
+            m for m in self.machines.values() if (m.kind, m.zone, m.spot) == (kind, body["yard"], body["loaner"])
+        ]
+        count = min(body["count"], self.capacity - len(present), self.most - len(self.machines))
+        if count <= 0 or kind["label"] not in self.kinds:
+            return Reply(503, {"error": "no capacity"})
+        names = [self.add(kind, body["yard"], body["loaner"]).name for _ in range(count)]
+        self.requests[body["hire"]] = names
+        return Reply(200, {"hosts": names})
+
+    def add(self, kind: dict, zone: str, spot: bool) -> Machine:
+        name = f"n-{len(self.world.every_machine):06d}"
+        machine = Machine(self.world, name, kind, zone, spot)
+        self.machines[name] = machine
+        self.world.every_machine[name] = machine
+        draw = self.world.random.random()
+        boot_s = 15 * self.world.random.uniform(0.6, 1.5)
+        if self.world.now < self.boots_until:
+            never, late, self_made = self.boots
+            boot_s = self_made or boot_s
+            if draw < never:
+                return machine
+            if draw < never + late:
+                boot_s *= 6
+        if draw > 0.03:  # a few never come up
+            self.world.clock.callLater(boot_s, machine.boot)
+        return machine
--- /dev/null
+++ b/tests/simulation/controllers.py
@@ -0,0 +1,142 @@
+"""The controllers' processes: starts, ends, standing still, and the reports that come to them."""
+
+import contextlib
+from collections.abc import Callable
+from typing import Any
+
+from twisted.internet import defer
+
+from stileloft.bookkeeping.records import split_task
+from stileloft.protocol import messages
+from stileloft.transport.client import ConnectionFailedError, NoResponseError, Reply
+from tests.simulation.clients import Connection
+from tests.simulation.deployment import SETTINGS
+from tests.simulation.gangs import Gang
+from tests.simulation.processes import Process
+from tests.versions import Version
+
+
+class Controllers:
+    """The part of the world that runs nodes."""
+
+    def settings(self, name: str) -> str:
+        number = self.names.index(name)
+        peers = "".join(
+            f'[[peers]]\nmember = "{other}"\nsite = "a"\naddress = "10.0.0.{i}:8081"\n'
+            for i, other in enumerate(self.names)
+            if other != name
+        )
+        coming = "".join(f"next.{limit} = {value}\n" for limit, value in self.coming.items())
+        return SETTINGS.format(
+            n=number, zone="a" if number else "b", peers=peers, value_kb=self.value_kb, coming=coming
+        )
+
+    def lower_limits(self) -> None:
+        """The limits that were announced come into force."""
+        self.state.value_bytes = int(self.coming["value_kb"] * 1024)
+        self.state.txn_ops = int(self.coming["txn_ops"])
+
+    def gang_of(self, task_name: str, attempt: int) -> Gang | None:
+        return self.gangs.get((split_task(task_name)[0], attempt))
+
+    def start(self, name: str) -> None:
+        self.processes[name] += 1
+        number = self.processes[name]
+        process = Process(self, name, number)
+        version = self.versions[name]
+        node = version.Node(
+            process,
+            version.parse(self.settings(name)),
+            lambda: self.now + 1000.0,
+            lambda *_, **options: Connection(self, name, number, **options),
+        )
+        node.in_thread = lambda function, *arguments: defer.maybeDeferred(function, *arguments)  # type: ignore
+        node.nonce = f"{name}-{number}"
+        node.election._nonce = node.nonce
+        elected = node.election._on_elected
+
+        def on_elected(token: int) -> None:
+            elected(token)
+            self.new_leader(name)
+
+        node.election._on_elected = on_elected
+        self.nodes[name] = node
+        node.begin()
+
+    def sockets(self, name: str) -> int:
+        """Connections that a node has open: those of the workers that report to it, and its own."""
+        made = self.connections[name]
+        for address in [address for address, until in made.items() if until < self.now]:
+            del made[address]
+        return len(made) + sum(1 for m in self.cloud.machines.values() if m.up and m.target == name)
+
+    def kill(self, name: str, back_after: float | None = 5.0, version: Version | None = None) -> None:
+        """Ends a process; it comes back as it was, or as another version."""
+        self.processes[name] += 1
+        self.versions[name] = version or self.versions[name]
+        self.frozen.pop(name, None)
+        self.connections[name] = {}
+        self.nodes[name] = None
+        if back_after is not None:
+            self.clock.callLater(back_after, self.start, name)
+
+    def freeze(self, name: str, seconds: float) -> None:
+        """The process stands still while its clocks run on; then all that was due meanwhile comes at once."""
+        self.frozen[name] = self.now + seconds
+
+    def awake(self, name: str, function: Callable[..., Any], *arguments: Any) -> None:
+        """Calls a function of a process, or has it called when the process goes on."""
+        number = self.processes[name]
+        wait = self.frozen.get(name, 0.0) - self.now
+        if wait <= 0:
+            function(*arguments)
+            return
+
+        def later() -> None:
+            if self.processes[name] == number:
+                self.awake(name, function, *arguments)
+
+        self.clock.callLater(wait + self.random.uniform(0.0, 0.005), later)
+
+    def leader(self) -> str | None:
+        return next((n for n, node in self.nodes.items() if node is not None and node.election.confirmed()), None)
+
+    def to_node(self, name: str, work: Callable[[], Any]) -> Any:
+        """A request that came to a process: a frozen one takes it up when it goes on."""
+        if self.frozen.get(name, 0.0) <= self.now:
+            return work()
+        answered: defer.Deferred = defer.Deferred()
+
+        def later() -> None:
+            # Else the connection was reset: nobody waits any more.
+            with contextlib.suppress(ConnectionFailedError, NoResponseError):
+                answered.callback(work())
+
+        self.awake(name, later)
+        return answered
+
+    def deliver_report(self, name: str, body: Any) -> Reply:
+        if self.copies and self.random.random() < self.copies:
+            # A copy comes late, from seconds to well over a lease, to whatever process is there by then.
+            self.clock.callLater(self.random.uniform(1.0, 40.0), self.copy_report, name, body)
+        if self.now < self.keep_for_next and self.random.random() < 0.1:
+            self.for_next.append(body)
+        node = self.nodes[name]
+        if node is None:
+            raise ConnectionFailedError("no process")
+        answer = node.report(self.versions[name].messages.parse_report(body))
+        return Reply(answer.status, messages.decode(messages.encode(answer.body)))
+
+    def new_leader(self, name: str) -> None:
+        """A leader's first moments: what was kept for it comes to all controllers."""
+        for tell in self.on_leader:
+            tell(name)
+        kept, self.for_next = self.for_next, []
+        for body in kept:
+            for other in self.names:
+                self.clock.callLater(self.random.uniform(0.0, 0.4), self.copy_report, other, body)
+
+    def copy_report(self, name: str, body: Any) -> None:
+        node = self.nodes[name]
+        if node is not None:
+            node.report(self.versions[name].messages.parse_report(body))
--- /dev/null
+++ b/tests/simulation/gangs.py
@@ -0,0 +1,115 @@
+"""One attempt of a gang, as its tasks see each other."""
+
+from typing import TYPE_CHECKING, Any
+
+if TYPE_CHECKING:
+    from tests.simulation.workers import Machine
+    from tests.simulation.world import World
+
+GANG_WAIT_S, GANG_PEER_S = 20.0, 3.0
+
+
+class Gang:
+    """One attempt of a gang, as its tasks see each other."""
+
+    def __init__(self, world: "World", job: dict[str, Any]) -> None:
+        self.world, self.job = world, job
+        self.members: dict[str, tuple[Machine, dict[str, Any]]] = {}
+        self.running_since: float | None = None
+        self.told: dict[str, float] = {}
+        """Tasks that were told to stop with time to save, and when."""
+        self.progress = 0.0
+        self.over = False
+        self.gathered: list[float] = []
+        """When each of its tasks began to wait."""
+
+    def present(self, name: str) -> bool:
+        machine, state = self.members[name]
+        return (
+            not machine.gone and not machine.hung and machine.tasks.get(name) is state and (state["phase"] != "exited")
+        )
+
+    def gather(self, name: str, machine: "Machine", state: dict[str, Any]) -> None:
+        self.members[name] = machine, state
+        self.gathered.append(self.world.now)
+        self.world.clock.callLater(GANG_WAIT_S, self.give_up, name, state)
+        here = [other for other in self.members if self.present(other)]
+        if self.running_since is None and len(here) == self.job["pieces"]:
+            self.running_since = self.world.now
+            self.world.rules.begun_at.setdefault(self.job["nameId"], self.world.now)
+            for member, member_state in self.members.values():
+                member_state["phase"] = "running"
+                member.send_report()
+            self.watch(None)
+
+    def give_up(self, name: str, state: dict[str, Any]) -> None:
+        machine = self.members[name][0]
+        if state["phase"] != "gathering" or machine.gone or machine.tasks.get(name) is not state:
+            return
+        if machine.hung:
+            self.world.clock.callLater(0.5, self.give_up, name, state)
+        else:
+            machine.finish(name, "incomplete")
+
+    def at(self) -> float:
+        """Progress of the job by now; it stops with the first stop."""
+        if self.running_since is None or self.told:
+            return self.progress
+        return self.world.saved.get(self.job["nameId"], 0.0) + self.world.now - self.running_since
+
+    def watch(self, lost_at: float | None) -> None:
+        """All of a running gang complete together; if one is lost the others notice."""
+        if self.over:
+            return
+        now = self.world.now
+        lost = [name for name in self.members if not self.present(name)]
+        if lost:
+            lost_at = now if lost_at is None else lost_at
+            if now - lost_at >= 0.8 * GANG_PEER_S:
+                self.fall_back("mates_gone")
+                return
+        elif self.told:
+            self.save()
+        elif self.at() >= self.world.run_s(self.job["nameId"] + "/0"):
+            self.over = True
+            for name, (machine, _) in self.members.items():
+                machine.finish(name, "done")
+        self.world.clock.callLater(0.25, self.watch, lost_at)
+
+    def stop(self, name: str, machine: "Machine", grace_s: float) -> None:
+        if self.job["snapshotS"] <= 0 or grace_s < self.job["stashS"]:
+            self.progress = self.at()
+            machine.finish(name, "halted")
+            return
+        self.progress = self.at()
+        self.told.setdefault(name, self.world.now)
+        machine.tasks[name]["phase"] = "flushing"
+
+    def save(self) -> None:
+        now, first = self.world.now, min(self.told.values())
+        if len(self.told) == len(self.members) and now >= max(self.told.values()) + self.job["stashS"]:
+            self.over = True
+            self.world.saved[self.job["nameId"]] = self.progress
+            for name, (machine, state) in self.members.items():
+                state["kept"] = True
+                machine.finish(name, "halted")
+        elif len(self.told) < len(self.members) and now - first > GANG_PEER_S:
+            self.fall_back("mates_gone")
+
+    def fall_back(self, why: str) -> None:
+        self.over = True
+        every_s = self.job["snapshotS"]
+        progress = self.at()
+        before = self.world.saved.get(self.job["nameId"], 0.0)
+        self.world.saved[self.job["nameId"]] = max(before, progress // every_s * every_s) if every_s else 0.0
+        self.world.lost_gangs += 1
+        for name in self.members:
+            self.exit(name, why)
+
+    def exit(self, name: str, why: str) -> None:
+        """One on a machine that hangs exits when it goes on."""
+        machine, state = self.members[name]
+        if machine.hung and not machine.gone:
+            self.world.clock.callLater(0.3, self.exit, name, why)
+        elif self.present(name):
+            machine.finish(name, why)
--- /dev/null
+++ b/tests/simulation/network.py
@@ -0,0 +1,96 @@
+"""The network between hosts: delays, losses, cuts, copies and what is held up."""
+
+import contextlib
+from collections.abc import Callable
+from typing import Any
+
+from twisted.internet import defer
+
+from stileloft.transport.client import ConnectionFailedError, NoResponseError
+
+
+class Network:
+    """The part of the world that carries requests and answers."""
+
+    def cut(self, one: str, other: str, seconds: float, hold: bool = False) -> None:
+        """No packets between two hosts; with `hold` they arrive when the cut ends."""
+        pair = frozenset((one, other))
+        self.cuts[pair] = self.now + seconds, hold
+
+        def heal() -> None:
+            late = [deliver for where, deliver in self.held if where == pair]
+            self.held = [item for item in self.held if item[0] != pair]
+            for deliver in late:
+                deliver()
+
+        self.clock.callLater(seconds + 0.001, heal)
+
+    def send(self, source: str, target: str, work: Callable[[], Any]) -> defer.Deferred:  # noqa: C901 - one case a trouble
+        """A request and its answer; the caller may give up on it, which does not take it back."""
+        answered: defer.Deferred = defer.Deferred()
+        pair = frozenset((source, target))
+
+        def back(result: Any) -> None:
+            if self.deaf.get(source, 0.0) > self.now:
+                return
+            if self.cut_now(pair) or self.random.random() < self.loss:
+                return
+            self.clock.callLater(self.delay(), fire, result)
+
+        def fire(result: Any) -> None:
+            if source in self.processes and self.frozen.get(source, 0.0) > self.now:
+                self.awake(source, fire, result)
+                return
+            if answered.called:
+                return
+            if isinstance(result, Exception):
+                answered.errback(result)
+            else:
+                answered.callback(result)
+
+        def arrive() -> None:
+            if self.deaf.get(target, 0.0) > self.now or self.mute.get(source, 0.0) > self.now:
+                return
+            try:
+                result = work()
+            except ConnectionFailedError as error:
+                back(error)
+                return
+            except NoResponseError:
+                return
+            if isinstance(result, defer.Deferred):
+                result.addCallback(back)
+            else:
+                back(result)
+
+        def repeat() -> None:
+            with contextlib.suppress(ConnectionFailedError, NoResponseError):
+                work()
+
+        cut = self.cut_now(pair)
+        if cut is not None:
+            if cut:
+                self.held.append((pair, arrive))
+            return answered
+        draw = self.random.random()
+        if draw < self.loss:
+            # Lost, or so late that the caller has given up on it.
+            if draw < self.loss / 2:
+                self.clock.callLater(self.random.uniform(2.0, 20.0), arrive)
+            return answered
+        held_s = 0.0
+        if self.now < self.slow_commands[0] and target in self.every_machine:
+            held_s = self.random.uniform(0.0, self.slow_commands[1])
+        self.clock.callLater(self.delay() + held_s, arrive)
+        if self.copies and self.random.random() < self.copies / 4:
+            # The request is repeated on its way, long after it was carried out.
+            self.clock.callLater(self.random.uniform(1.0, 40.0), repeat)
+        return answered
+
+    def cut_now(self, pair: frozenset[str]) -> bool | None:
+        """None without a cut, else whether it holds packets back."""
+        until, hold = self.cuts.get(pair, (0.0, False))
+        return hold if self.now < until else None
+
+    def delay(self) -> float:
+        return self.random.uniform(0.001, 0.01) if self.random.random() < 0.98 else self.random.uniform(0.05, 0.4)
--- /dev/null
+++ b/tests/simulation/workers.py
@@ -0,0 +1,218 @@
+"""Machines with their workers: reports, commands, leases, and tasks that run."""
+
+from typing import TYPE_CHECKING, Any
+
+from stileloft.bookkeeping.records import split_task
+from stileloft.protocol import messages
+from stileloft.transport.client import NoResponseError, Reply
+from tests.simulation.gangs import Gang
+
+if TYPE_CHECKING:
+    from tests.simulation.world import World
+
+
+class Machine:
+    """A rented machine with its worker."""
+
+    def __init__(self, world: "World", name: str, kind: dict, zone: str, spot: bool) -> None:
+        self.world, self.name, self.kind, self.zone, self.spot = world, name, kind, zone, spot
+        self.address = f"{name}:9000"
+        self.rented = world.now
+        self.up = self.gone = self.hung = False
+        self.session, self.seq, self.token = 1, 0, 0
+        self.renewed = world.now
+        self.notice: float | None = None
+        self.tasks: dict[str, dict[str, Any]] = {}
+        self.target = world.random.choice(world.names)
+        self.reporting = False
+        self.images: set[str] = set()
+
+    def boot(self) -> None:
+        if not self.gone:
+            self.up = True
+            self.renewed = self.world.now
+            self.loop()
+            self.lease_loop()
+
+    def report(self) -> dict[str, Any]:
+        self.seq += 1
+        return {
+            "host": self.name,
+            "endpoint": self.address,
+            "build": self.kind["label"],
+            "yard": self.zone,
+            "loaner": self.spot,
+            "stint": self.session,
+            "tick": self.seq,
+            "baton": self.token,
+            "warningS": None if self.notice is None else max(0.0, self.notice - self.world.now),
+            "pieces": [
+                {"piece": t, "try": s["try"], "phase": s["phase"], "cause": s["cause"], "kept": s.get("kept", False)}
+                for t, s in self.tasks.items()
+            ],
+        }
+
+    def lease_loop(self) -> None:
+        if self.gone:
+            return
+        self.world.clock.callLater(0.2, self.lease_loop)
+        if not self.hung:
+            self.lapse()
+
+    def lapse(self) -> None:
+        if self.world.now - self.renewed > 12.0:
+            for name in list(self.tasks):
+                self.leave(name)
+            self.tasks.clear()
+            self.session += 1
+            self.renewed = self.world.now
+
+    def loop(self) -> None:
+        if self.gone:
+            return
+        self.world.clock.callLater(2.0 * self.world.random.uniform(0.75, 1.25), self.loop)
+        self.send_report()
+
+    def send_report(self) -> None:  # noqa: C901 - one case an answer
+        if self.gone or self.hung or not self.up or self.reporting:
+            return
+        self.reporting = True
+        sent, session, target = self.world.now, self.session, self.target
+        waiting = self.world.send(
+            self.name, target, lambda: self.world.to_node(target, lambda: self.world.deliver_report(target, body))
+        )
+        body = messages.decode(messages.encode(self.report()))
+        timer = self.world.clock.callLater(4.0, waiting.cancel)
+
+        def answered(reply: Reply) -> None:
+            self.reporting = False
+            if timer.active():
+                timer.cancel()
+            if self.gone or self.hung or session != self.session:
+                return
+            if reply.status == 421:
+                steward = (reply.body or {}).get("steward")
+                names = self.world.names
+                other = names[(names.index(self.target) + 1) % len(names)]
+                self.target = steward if steward in names and steward != self.target else other
+                self.world.clock.callLater(0.3, self.send_report)
+            elif reply.status == 200:
+                if reply.body["baton"] >= self.token:
+                    if reply.body["baton"] > self.token:
+                        self.world.clock.callLater(0.5, self.send_report)
+                    self.token = reply.body["baton"]
+                    self.renewed = max(self.renewed, sent)
+                    self.execute(reply.body["orders"])
+            else:
+                failed(None)
+
+        def failed(_: Any) -> None:
+            self.reporting = False
+            if timer.active():
+                timer.cancel()
+            names = self.world.names
+            self.target = names[(names.index(self.target) + 1) % len(names)]
+
+        waiting.addCallbacks(answered, failed)
+
+    def command(self, body: Any) -> Reply:
+        if self.hung:
+            raise NoResponseError("hangs")
+        self.lapse()
+        if body["baton"] < self.token or body["stint"] != self.session:
+            return Reply(409, self.report())
+        if body["baton"] > self.token:
+            self.world.clock.callLater(0.5, self.send_report)
+        self.token = body["baton"]
+        self.execute(body["orders"])
+        return Reply(200, self.report())
+
+    def execute(self, commands: list[dict[str, Any]]) -> None:
+        for command in commands:
+            name, attempt = command["piece"], command["try"]
+            known = self.tasks.get(name)
+            if command["verb"] == "launch":
+                self.start(name, attempt, known)
+            elif known is None or known["try"] != attempt:
+                continue
+            elif command["verb"] == "forget":
+                if known["phase"] == "exited":
+                    del self.tasks[name]
+            elif known["phase"] != "exited":
+                gang = self.world.gang_of(name, attempt)
+                if gang is not None and known["phase"] in ("running", "flushing"):
+                    gang.stop(name, self, command["windDownS"])
+                else:
+                    self.finish(name, "halted")
+
+    def start(self, name: str, attempt: int, known: dict[str, Any] | None) -> None:
+        if known is not None and (known["try"] == attempt or known["phase"] != "exited"):
+            return  # no effect, or another attempt is here still, which a real worker refuses
+        job = self.world.jobs.get(split_task(name)[0])
+        state = {"try": attempt, "phase": "fetching", "cause": None, "session": self.session}
+        self.tasks[name] = state
+        if job is None:
+            state["phase"], state["cause"] = "exited", "no_such"
+            return
+        used = sum(self.world.jobs[split_task(t)[0]]["vcpus"] for t, s in self.tasks.items() if s["phase"] != "exited")
+        if used > self.kind["vcpus"]:
+            state["phase"], state["cause"] = "exited", "full"
+            return
+        wait = 0.0 if job["bundle"] in self.images else self.world.random.uniform(0.6, 1.4)
+        self.world.clock.callLater(wait, self.begin, name, state)
+
+    def begin(self, name: str, state: dict[str, Any]) -> None:
+        if self.tasks.get(name) is not state or state["phase"] != "fetching" or self.gone:
+            return
+        if self.hung:
+            self.world.clock.callLater(0.5, self.begin, name, state)
+            return
+        job = self.world.jobs[split_task(name)[0]]
+        self.images.add(job["bundle"])
+        if name in self.world.rules.done:  # its result is kept
+            state.update(phase="exited", cause="done")
+            self.send_report()
+            return
+        self.world.rules.started(name, self, self.world.now)
+        if job["shape"] == "gang":
+            state["phase"] = "gathering"
+            gang = self.world.gangs.setdefault((job["nameId"], state["try"]), Gang(self.world, job))
+            gang.gather(name, self, state)
+            self.send_report()
+            return
+        state["phase"] = "running"
+        self.send_report()
+        self.world.clock.callLater(self.world.run_s(name), self.complete, name, state)
+
+    def complete(self, name: str, state: dict[str, Any]) -> None:
+        if self.tasks.get(name) is not state or state["phase"] != "running" or self.gone:
+            return
+        if self.hung:
+            self.world.clock.callLater(0.5, self.complete, name, state)
+            return
+        why = "error" if split_task(name)[0] in self.world.mistaken or self.name in self.world.faulty else "done"
+        self.finish(name, why)
+
+    def finish(self, name: str, why: str) -> None:
+        self.leave(name)
+        self.tasks[name].update(phase="exited", cause=why)
+        if why == "done":
+            self.world.rules.completed(name)
+        self.world.clock.callLater(0.01, self.send_report)
+
+    def leave(self, name: str) -> None:
+        if self.tasks[name]["phase"] in ("running", "gathering", "flushing"):
+            self.world.rules.ended(name, self)
+
+    def restart(self) -> None:
+        """Back at once with nothing on it; its counters begin anew."""
+        for name in list(self.tasks):
+            self.leave(name)
+        self.tasks.clear()
+        self.session, self.seq, self.token = 1, 0, 0
+        self.renewed = self.world.now
+
+    def die(self) -> None:
+        self.gone = True
+        for name in list(self.tasks):
+            self.leave(name)
--- /dev/null
+++ b/tests/simulation/world.py
@@ -0,0 +1,92 @@
+"""A whole deployment, and the rules it has to keep."""
+
+import random
+from collections.abc import Callable
+from typing import Any
+
+from stileloft.bookkeeping.records import split_task
+from stileloft.coordination.node import Node
+from tests.rules import Rules
+from tests.simulation.cloud import Cloud
+from tests.simulation.controllers import Controllers
+from tests.simulation.gangs import Gang
+from tests.simulation.network import Network
+from tests.simulation.processes import Clock
+from tests.simulation.state_service import StateService
+from tests.simulation.users import Users
+from tests.simulation.workers import Machine
+from tests.versions import NEW, Version
+
+
+class World(Controllers, Network, Users):
+    """Everything outside the nodes, the nodes, and the rules they have to keep."""
+
+    def __init__(
+        self,
+        seed: int,
+        capacity: int = 3,
+        loss: float = 0.002,
+        value_kb: float = 4.0,
+        coming: dict[str, float] | None = None,
+        version: Version = NEW,
+    ) -> None:
+        """`coming` are the limits that the state service will have; `version` is what the nodes run at first."""
+        self.value_kb = value_kb
+        self.coming = coming or {}
+        self.gangs: dict[tuple[str, int], Gang] = {}
+        self.saved: dict[str, float] = {}
+        """Saved progress of gangs."""
+        self.lost_gangs = 0
+        """How often a gang fell back to its last checkpoint."""
+        self.random = random.Random(seed)
+        self.clock = Clock()
+        self.loss = loss
+        self.names = ["node-0", "node-1", "node-2"]
+        self.versions = dict.fromkeys(self.names, version)
+        self.jobs: dict[str, dict[str, Any]] = {}
+        self.lengths: dict[str, float] = {}
+        self.mistaken: set[str] = set()
+        self.faulty: set[str] = set()
+        self.every_machine: dict[str, Machine] = {}
+        self.cuts: dict[frozenset[str], tuple[float, bool]] = {}
+        self.deaf: dict[str, float] = {}
+        """Hosts to which nothing comes through until then, while what they send arrives."""
+        self.frozen: dict[str, float] = {}
+        self.connections: dict[str, dict[str, float]] = {name: {} for name in self.names}
+        """Connections that each node has made, and until when they are kept."""
+        self.peers_refuse = 0.0
+        """Until when controllers refuse each other's connections."""
+        self.mute: dict[str, float] = {}
+        """Machines that reach no controller until then, while what is sent to them arrives and is answered."""
+        self.slow_commands = (0.0, 0.0)
+        """Until when, and how many seconds at the most, commands to machines or their answers are held up."""
+        self.copies = 0.0
+        """The part of the reports and requests of which a copy comes late."""
+        self.on_leader: list[Callable[[str], None]] = []
+        """Called with the name of each new leader."""
+        self.for_next: list[Any] = []
+        """Reports of which a copy is kept until the next leader begins, and then reaches all controllers."""
+        self.keep_for_next = 0.0
+        """Until when a tenth of the reports is kept so."""
+        self.close_looks = 0.0
+        """Until when users ask at all nodes, and submit again, within milliseconds of each answer that counts."""
+        self.held: list[tuple[frozenset[str], Callable[[], None]]] = []
+        self.processes = {name: 0 for name in self.names}
+        self.nodes: dict[str, Node | None] = dict.fromkeys(self.names)
+        self.rules = Rules(self)
+        self.state = StateService(self)
+        self.cloud = Cloud(self, capacity)
+        for name in self.names:
+            self.start(name)
+
+    @property
+    def now(self) -> float:
+        return self.clock.seconds()
+
+    def run(self, seconds: float) -> None:
+        end = self.now + seconds
+        while self.now < end:
+            self.clock.advance(0.01)
+
+    def run_s(self, name: str) -> float:
+        return self.lengths.setdefault(name, self.random.uniform(0.5, 1.5) * self.jobs[split_task(name)[0]]["guessS"])
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -24,7 +24,7 @@
 from stileloft.protocol.admin import OperatorSettings
 from stileloft.protocol.messages import JobSpec, MachineType
 from stileloft.settings import Team
-from tests import plain
+from tests import reference_model as plain
 
 SMALL = MachineType("small", 8.0, 32.0, 0.5, 0.2, 30.0, ("a", "b"), 50.0, 1.0)
 LARGE = MachineType("large", 32.0, 128.0, 2.0, 0.9, 30.0, ("a", "b"), 50.0, 1.0)
--- a/tests/test_gangs.py
+++ b/tests/test_gangs.py
@@ -10,7 +10,9 @@
 from stileloft.coordination.admission import why_impossible
 from stileloft.protocol.messages import MachineType, parse_job, parse_report
 from stileloft.settings import Team
-from tests.standins import Gang, Machine, World
+from tests.simulation.gangs import Gang
+from tests.simulation.workers import Machine
+from tests.simulation.world import World
 from tests.test_rules import (
     burst,
     crash_all_at_once,
--- a/tests/test_inline_records.py
+++ b/tests/test_inline_records.py
@@ -10,7 +10,7 @@
 from stileloft.bookkeeping.model import Job, Placement, job_from_record
 from stileloft.protocol.messages import job_from_wire
 from stileloft.transport.client import Reply
-from tests.standins import World
+from tests.simulation.world import World
 from tests.test_rules import crash_leader, finish, load, outage
 from tests.versions import LAST_FORMAT_1, NEW, from_history
 
--- a/tests/test_ops_troubles.py
+++ b/tests/test_ops_troubles.py
@@ -5,9 +5,9 @@
 import pytest
 
 from stileloft.coordination.node import Node
-from tests.standins import World
+from tests.simulation.world import World
 from tests.test_inline_records import count_changes
-from tests.test_meetings import all_away, boots, cancel_now, close_looks, late_writes, many_questions, outage
+from tests.test_overlapping_faults import all_away, boots, cancel_now, close_looks, late_writes, many_questions, outage
 from tests.test_rules import crash_leader, finish, load, spot_wave
 
 Trouble = Callable[[World], None]
--- a/tests/test_meetings.py
+++ b/tests/test_overlapping_faults.py
@@ -10,7 +10,9 @@
 from stileloft.protocol import messages
 from stileloft.transport.client import NoResponseError, Reply
 from tests.rules import CANCEL_S
-from tests.standins import TYPES, Machine, World
+from tests.simulation.deployment import TYPES
+from tests.simulation.workers import Machine
+from tests.simulation.world import World
 from tests.test_rules import crash_leader, finish, hang_machines, load, spot_wave
 
 # -- troubles ----------------------------------------------------------------------------------------------------
@@ -552,7 +554,7 @@
 
 
 @pytest.mark.parametrize("name, seed", SEEDS)
-def test_meeting(name: str, seed: int) -> None:
+def test_overlapping_faults(name: str, seed: int) -> None:
     world = play(name, seed)
     assert world.rules.broken == []
     wanted = [job for job in world.jobs if job not in world.rules.impossible]
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -10,7 +10,7 @@
 from stileloft.coordination.snapshot_builder import SnapshotBuilder
 from stileloft.protocol import messages
 from stileloft.settings import Workers
-from tests.standins import World
+from tests.simulation.world import World
 
 
 def load(world: World, jobs: int = 24, every: float = 3.0) -> None:
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -20,7 +20,7 @@
 from stileloft.transport.client import Reply
 from stileloft.transport.server import Answer, Router, make_site
 from stileloft.transport.sockets import Sockets
-from tests.standins import World
+from tests.simulation.world import World
 
 # -- settings and command line ------------------------------------------------------
 
--- a/tests/test_size.py
+++ b/tests/test_size.py
@@ -8,7 +8,8 @@
 from stileloft.coordination.rounds import Rounds
 from stileloft.coordination.snapshot_builder import SnapshotBuilder
 from stileloft.transport.sockets import KEEP_USERS, Sockets
-from tests.standins import TYPES, World
+from tests.simulation.deployment import TYPES
+from tests.simulation.world import World
 
 MACHINES = 200
 JOBS, TASKS = 20, 40
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -13,7 +13,7 @@
 from stileloft.protocol.messages import job_from_wire
 from stileloft.protocol.peers import PeerView
 from stileloft.settings import State, parse
-from tests.standins import World
+from tests.simulation.world import World
 from tests.test_gangs import gang, gang_load
 from tests.test_rules import crash_leader, finish, load, machines_die, outage, spot_wave
 from tests.versions import NEW, Version, production
