--- a/tests/test_inline_records.py
+++ b/tests/test_inline_records.py
@@ -8,10 +8,10 @@
 
 from stileloft.bookkeeping import records
 from stileloft.bookkeeping.model import Job, Placement, job_from_record
-from stileloft.protocol.messages import job_from_wire
 from stileloft.transport.client import Reply
 from tests.simulation.world import World
 from tests.test_rules import crash_leader, finish, load, outage
+from tests.test_upgrade import stored_spec
 from tests.versions import LAST_FORMAT_1, NEW, from_history
 
 last_format_1 = pytest.mark.skipif(from_history(LAST_FORMAT_1) is None, reason="the checkout lacks the history")
@@ -154,22 +154,7 @@
 
 
 def test_an_inline_chunk_is_read_as_it_was_written() -> None:
-    spec = job_from_wire(
-        {
-            "nameId": "j-1",
-            "lane": "batch",
-            "crew": "core",
-            "shape": "array",
-            "urgency": "standard",
-            "pieces": 5,
-            "vcpus": 1.0,
-            "memGb": 1.0,
-            "bundle": "img",
-            "imageGb": 1.0,
-            "guessS": 1.0,
-        }
-    )
-    job = Job(spec, 7.0, 22)
+    job = Job(stored_spec(pieces=5), 7.0, 22)
     chunk = job.chunk_of(0)
     chunk.attempt, chunk.done = 3, {0, 4}
     job.add(Placement("j-1", 1, 2, "n-000001", "a", True))
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -10,7 +10,7 @@
 from stileloft.bookkeeping import records
 from stileloft.bookkeeping.model import ENDED, PLANNED, Chunk, Job, Placement, job_from_record
 from stileloft.coordination.entries import Limits
-from stileloft.protocol.messages import job_from_wire
+from stileloft.protocol.messages import JobSpec, job_from_wire
 from stileloft.protocol.peers import PeerView
 from stileloft.settings import State, parse
 from tests.simulation.world import World
@@ -248,15 +248,16 @@
     assert limits.ops == 5 and limits.value_bytes == 512
 
 
-def chunk_of(placed: int, done: int = 0, name: str = "n-000123") -> tuple[Job, Chunk]:
-    spec = job_from_wire(
+def stored_spec(pieces: int) -> JobSpec:
+    """A job as its record describes it."""
+    return job_from_wire(
         {
             "nameId": "j-1",
             "lane": "batch",
             "crew": "core",
             "shape": "array",
             "urgency": "standard",
-            "pieces": 300,
+            "pieces": pieces,
             "vcpus": 1.0,
             "memGb": 1.0,
             "bundle": "img",
@@ -264,6 +265,10 @@
             "guessS": 1.0,
         }
     )
+
+
+def chunk_of(placed: int, done: int = 0, name: str = "n-000123") -> tuple[Job, Chunk]:
+    spec = stored_spec(pieces=300)
     job = Job(spec, 0.0, 256)
     chunk = job.chunk_of(0)
     chunk.attempt, chunk.done = 999, set(range(0, 2 * done, 2))
