Chunks tell their length whoever writes them, and limits lowered without notice end no job

Cause, found on reading the change again: a process that leads before it has read the format wrote a chunk's record in the oldest one, without its length. What is left of a cancelled job is read by that alone, so with chunks longer than the old length (65 for 22 at 4 KiB) its tasks were looked for in chunks that it does not have. Change: the length is told if the job's record has it. Change: after a refusal fewer changes are tried first, and a chunk has 96 tasks at the most, its job's record at most half of a value with it.

--- a/stileloft/bookkeeping/records.py
+++ b/stileloft/bookkeeping/records.py
@@ -42,6 +42,7 @@
 # A placement is at most some 70 characters of JSON, a finished range 16.
 BYTES_PER_TASK = 90
 MOST_PER_CHUNK = 256
+MOST_PER_SIZED_CHUNK = 96
 
 
 def chunk_size(value_kb: float) -> int:
@@ -66,9 +67,10 @@
 def sized_chunk_size(value_bytes: int) -> int:
     """Tasks per chunk where the records say how many: as many as a record has room for, and some to spare.
 
-    Each chunk that is written is a change of the store, however many of its tasks have changed.
+    Each chunk that is written is a change of the store, however many of its tasks have changed. But it must not take
+    more records than a transaction has changes if the store's limits become lower than was announced.
     """
-    return min(MOST_PER_CHUNK, max(8, (value_bytes - CHUNK_BYTES) // LONG_BYTES_PER_TASK))
+    return min(MOST_PER_SIZED_CHUNK, max(8, (value_bytes - CHUNK_BYTES) // LONG_BYTES_PER_TASK))
 
 
 def size_of(value: Any) -> int:
--- a/stileloft/coordination/entries.py
+++ b/stileloft/coordination/entries.py
@@ -22,6 +22,9 @@
 # Limits are not believed to be below these: a job's end takes two changes.
 LEAST_OPS = 2
 LEAST_VALUE_BYTES = 512
+# A job's record with its chunk takes at most this part of a value: it is still stored, or moved to a record of the
+# chunk's own in few changes, when the limits become lower.
+INLINE_PART = 0.5
 # Changes left for a job's own record when its chunks are gathered into a transaction.
 JOB_CHANGES = 2
 
@@ -35,12 +38,16 @@
         self.value_bytes = least.value_bytes
 
     def refused(self, values: Iterable[Any], changes: int) -> None:
-        """A transaction of these values, and so many changes in all, was too large; which of the two is not said."""
+        """A transaction of these values, and so many changes in all, was too large; which of the two is not said.
+
+        First fewer changes are tried. Smaller values make records of more pieces, and so transactions of more changes:
+        tried first, they could come to be refused for their changes for good.
+        """
         largest = max((records.size_of(value) for value in values), default=0)
-        if largest > self.value_bytes // 2 or changes <= LEAST_OPS:
-            self.value_bytes = max(LEAST_VALUE_BYTES, self.value_bytes // 2)
-        else:
+        if changes > LEAST_OPS and self.ops > LEAST_OPS:
             self.ops = max(LEAST_OPS, min(self.ops, changes) // 2)
+        elif largest > LEAST_VALUE_BYTES // 2 or changes <= LEAST_OPS:
+            self.value_bytes = max(LEAST_VALUE_BYTES, self.value_bytes // 2)
 
 
 @dataclass(slots=True)
@@ -110,7 +117,7 @@
             return False
         if any(chunk.stored for chunk in job.chunks.values()):
             return False  # it has a record of its own, from an earlier format, and keeps it
-        return records.size_of(self._job_record(job, inline=True)) + records.COURSE_BYTES <= self._limit()
+        return records.size_of(self._job_record(job, inline=True)) <= INLINE_PART * self._limit()
 
     def _limit(self) -> int:
         return self._term.limits.value_bytes
@@ -212,7 +219,9 @@
     def _put_chunk(self, entry: Entry, number: int) -> None:
         """Writes a chunk as records of its own."""
         job, chunk = entry.job, entry.job.chunks[number]
-        if self._term.node.format < records.SIZED_FORMAT:
+        # A leader that has just begun may not have read the format yet. The length must be told all the same if the
+        # job's record has it: what is left of a cancelled job is read by the length that its chunks tell.
+        if self._term.node.format < records.SIZED_FORMAT and not job.size_stored:
             entry.puts[records.chunk_key(job.id, number)] = chunk.record(job.spec)
             return
         values = chunk.records(job.spec, job.size, self._limit())
--- a/tests/test_inline_records.py
+++ b/tests/test_inline_records.py
@@ -172,3 +172,41 @@
     # A record of its own, as a cancellation leaves it, counts for more than what the job's record said before.
     again.load_chunks([(records.chunk_key("j-1", 0), {"a": 4, "d": [[0, 5]], "p": {}}, 12)])
     assert (again.chunks[0].attempt, again.chunks[0].inline, again.chunks[0].version) == (4, False, 12)
+
+
+def test_a_leader_that_has_not_read_the_format_tells_the_length_of_chunks() -> None:
+    """All begin anew, and reads of the format fail for a while; then a job is cancelled, and the leader ends.
+
+    Its successor knows the job by its chunk's record alone. Without the length there it took the tasks for those of
+    other chunks, and failed to let go of them.
+    """
+    world = settled(106)
+    world.submit(world.job(1, pieces=40, vcpus=0.5, memGb=0.2, guessS=200.0))
+    run_until_started(world, 40)
+    assert world.state.items["active/j-000001"][0]["n"] > records.chunk_size(world.value_kb) > 20
+    ask, until = world.state.ask, world.now + 12.0
+
+    def asking(caller: str, method: str, path: str, body: Any) -> Any:
+        if path == f"/kv/{records.FORMAT}" and world.now < until:
+            return Reply(503, {"error": "trouble"})
+        return ask(caller, method, path, body)
+
+    world.state.ask = asking  # type: ignore[method-assign]
+    for name in world.names:
+        world.kill(name, 0.2)
+    world.run(6)
+    leader = world.leader()
+    assert leader is not None and world.nodes[leader].format == 0
+    world.submit(world.job(2, pieces=2))  # some change of the first job is written too: its counts
+    for machine in list({m.name: m for task, m in world.rules.where.items()}.values())[:1]:
+        machine.die()
+    while records.chunk_key("j-000001", 0) not in world.state.items and world.now < until:
+        world.run(0.1)
+    assert world.state.items[records.chunk_key("j-000001", 0)][0]["n"] == 65
+    world.cancel("j-000001")
+    world.run(0.5)
+    crash_leader(world)
+    finish(world)
+    world.run(30)
+    assert world.rules.where == {} and world.rules.broken == []
+    assert [key for key in world.state.items if "j-000001" in key] == ["final/j-000001"]
