--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -246,6 +246,13 @@
     for _ in range(40):
         limits.refused(["small"], 1)
     assert limits.ops == 5 and limits.value_bytes == 512
+    # Of large values too fewer changes are tried first: smaller values would make more of them.
+    limits = Limits(State(100.0, 50.0, 4.0, 12))
+    limits.refused(["x" * 3000] * 6, 6)
+    assert (limits.ops, limits.value_bytes) == (3, 4096)
+    for _ in range(3):
+        limits.refused(["x" * 3000] * 3, 3)
+    assert limits.ops == 2 and limits.value_bytes < 4096
 
 
 def stored_spec(pieces: int) -> JobSpec:
