Reference model: whether a machine is one for a job's tasks is asked in one place

Need: the same five conditions stood in the trial over all machines and in the search for room. Change: may_use serves both; behaviour is unchanged.

--- a/tests/reference_model.py
+++ b/tests/reference_model.py
@@ -76,13 +76,7 @@
     found = []
     for node in snapshot.nodes.values():
         hold = snapshot.holds.get(node.id)
-        if not (
-            node.up
-            and node.ready
-            and node.id not in job.avoid
-            and allowed(spec, node)
-            and zone_allowed(spec, job.zones, node.zone)
-        ) or (hold and hold.owner not in ("", spec.id)):
+        if not may_use(job, node) or (hold and hold.owner not in ("", spec.id)):
             continue
         victims = trial(spec, node, [n for n in nominations if n.machine == node.id], snapshot)
         if victims is not None:
@@ -91,19 +85,24 @@
     return min(found, key=lambda item: item[0])[1] if found else None
 
 
+def may_use(job: Waiting, node: Node) -> bool:
+    """Whether the machine is one for the job's tasks, whatever room it has."""
+    return (
+        node.up
+        and node.ready
+        and node.id not in job.avoid
+        and allowed(job.spec, node)
+        and zone_allowed(job.spec, job.zones, node.zone)
+    )
+
+
 def find(job: Waiting, snapshot: Snapshot, nominations: list[Nomination], scarce: bool) -> Node | None:
     """The best machine that fits now, beside the tasks nominated there."""
     spec = job.spec
     kinds = [kind.cpus for kind in snapshot.types.values()]
     found = []
     for node in snapshot.nodes.values():
-        if not (
-            node.up
-            and node.ready
-            and node.id not in job.avoid
-            and allowed(spec, node)
-            and zone_allowed(spec, job.zones, node.zone)
-        ):
+        if not may_use(job, node):
             continue
         hold = snapshot.holds.get(node.id)
         if hold is not None and not hold.lets(spec, job.estimate_s, job.overdue):
