Four thousand machines: sockets, the cloud's list, rentals and open files set no limit below that

Need: about 4,000 machines run the service, and whatever has a fixed size must leave room for half as many again.

Causes found, each of which bound far below that: - Workers' connections for reports were always kept. With some hundreds of sockets the first workers held them all, and the others were refused until their leases ran out. Eight pages and more are beyond our own part of the cloud's requests, so it never came to an end, and none of it was taken in. It is read page by page now, each taken in as it comes and asked for again if it fails, and from the third page on at half of that part. - A plan's rental of more than 50 of an offer was filled in part, and the offer then counted as refused. - Where images are was recorded for a few machines every 4 s: 4,000 would have taken three quarters of an hour. - The system's limit of open files (1,024 on many) is raised to what the sockets need. - Each check looked for commands to each machine; those with nothing on them are passed over.

Tests: 4,000 machines on nodes with 600 sockets, steady, with the leader lost, and with all controllers away for longer than a lease; with connections kept the checker must object. The fakes' cloud pages and throttles now, its rentals hold 50, the store forgets old changes and bounds its pages, and a node without sockets refuses workers. Ruled out: keeping some of the connections up to a part of the limit. They are taken between two looks at the sockets.

--- a/stileloft/cli.py
+++ b/stileloft/cli.py
@@ -42,7 +42,9 @@
     from twisted.internet import reactor as installed
 
     from stileloft.coordination.node import Node
+    from stileloft.transport.sockets import allow_open_files
 
+    allow_open_files(loaded.deployment.quota.max_sockets)
     reactor: Any = installed
     node = Node(reactor, loaded)
     try:
--- a/stileloft/coordination/dispatch.py
+++ b/stileloft/coordination/dispatch.py
@@ -228,6 +228,8 @@
     def _starts(self, machine: Machine) -> list[Placement]:
         """Placements whose task has to be started, or whose start has to be repeated."""
         term = self.term
+        if not machine.placements:
+            return []
         if not term.confirmed() or not term.watch.is_fresh() or not machine.trusted or machine.releasing:
             return []
         # A start without an answer may be executed at any later time. One that is to be stopped by
@@ -294,7 +296,9 @@
         """Sends what the machine has to do, one message at a time."""
         term = self.term
         now = term.clock.seconds()
-        if machine.sending or not machine.address or now < machine.retry_at or not term.confirmed() or not term.loaded:
+        if machine.sending or not machine.address or now < machine.retry_at or self._is_settled(machine, now):
+            return
+        if not term.confirmed() or not term.loaded:
             return
         starts = self._starts(machine)[:MAX_COMMANDS]
         commands = self._stops(machine)
@@ -313,6 +317,10 @@
         self.claims += claim
         defer.ensureDeferred(self._send(machine, session, commands, starts, claim))
 
+    def _is_settled(self, machine: Machine, now: float) -> bool:
+        """Whether it is plain that there is nothing to send, as for most of a large fleet, which is looked at often."""
+        return machine.trusted and not machine.placements and not machine.strays and self.reaches(machine, now)
+
     @staticmethod
     def _worth_claiming(machine: Machine) -> bool:
         """A machine that is still booting answers nothing, and reports by itself when it is up."""
--- a/stileloft/coordination/fleet.py
+++ b/stileloft/coordination/fleet.py
@@ -9,7 +9,7 @@
 from stileloft.bookkeeping.model import BOUND, Machine, Placement
 from stileloft.coordination.election import DRIFT
 from stileloft.coordination.scaling import Offer, Plan
-from stileloft.protocol.cloud import RELEASE_LIMIT, CloudError, NoCapacityError
+from stileloft.protocol.cloud import RELEASE_LIMIT, RENT_LIMIT, CloudError, NoCapacityError
 from stileloft.protocol.messages import ListedMachine
 from stileloft.protocol.state import ConflictError, TooLargeError, UnavailableError, UnknownOutcomeError
 
@@ -47,8 +47,15 @@
 GONE_LEASES = 40.0
 # Machines to be returned are gathered for so long into one request.
 GATHER_S = 0.05
-# How often it is recorded where images are, and how many a machine is believed to have.
+# Pages of the cloud's list that are read without a pause, and the part of our requests to the cloud that further ones
+# may take: rentals and returns need the rest.
+PAGES_AT_ONCE = 2
+LIST_PART = 0.5
+# How often it is recorded where images are; more often when the machines would else take more than so many rounds,
+# and how many a machine is believed to have.
 IMAGES_S = 4.0
+IMAGES_ROUNDS = 64
+IMAGES_LEAST_S = 0.5
 IMAGES_KNOWN = 40
 
 
@@ -84,19 +91,35 @@
     # -- the cloud's list -------------------------------------------------------
 
     async def list_loop(self) -> None:
+        """Reads the cloud's list page by page, over and over.
+
+        Each page is taken in as it comes, and a page that fails is asked for again: a list of many pages that had to
+        be read in one go would use up the cloud's limit of requests before its end, and would never be complete.
+        """
         term = self.term
+        between_lists_s = max(1.0, self.lag_s / 4)
+        between_pages_s = 1.0 / (LIST_PART * term.cloud.requests_per_s)
+        after, pages = "", 0
         while term.alive:
+            pause_s = between_lists_s
             try:
-                listed = await term.cloud.machines()
-                if term.alive:
-                    with term.lock:
-                        self.take_list(listed)
-                    term.request_round()
+                page = await term.cloud.machines_after(after)
+                if not term.alive:
+                    return
+                with term.lock:
+                    self.take_list(page.machines)
+                term.request_round()
+                pages += 1
+                if page.more:
+                    after = page.machines[-1].id
+                    pause_s = between_pages_s if pages >= PAGES_AT_ONCE else 0.0
+                else:
+                    after, pages = "", 0
             except CloudError as error:
                 log.debug("machine list: %s", error)
             except Exception:
                 log.exception("machine list")
-            await term.sleep(max(1.0, self.lag_s / 4))
+            await term.sleep(pause_s)
 
     def take_list(self, listed: list[ListedMachine]) -> None:
         """Adds machines; a list never removes what may be alive, since it can be old."""
@@ -330,12 +353,18 @@
             machine = self.term.machines.get(machine_id)
             if machine is not None and not machine.placements and not machine.strays:
                 self.give_back(machine, "it is idle")
-        for offer, count in plan.rent.items():
-            self._serial += 1
-            # The process's nonce keeps names apart between nodes, restarts and terms.
-            request = f"r-{self.term.nonce}-{self.term.token}-{self._serial}"
-            self.renting[request] = (offer, count)
-            defer.ensureDeferred(self._rent(request, offer, count))
+        for offer, wanted in plan.rent.items():
+            # A request for more would be filled in part, and read as a sign that the cloud has no more of these.
+            for first in range(0, wanted, RENT_LIMIT):
+                self._request_machines(offer, min(RENT_LIMIT, wanted - first))
+
+    def _request_machines(self, offer: Offer, count: int) -> None:
+        """Begins a rental of at most `RENT_LIMIT` machines."""
+        self._serial += 1
+        # The process's nonce keeps names apart between nodes, restarts and terms.
+        request = f"r-{self.term.nonce}-{self.term.token}-{self._serial}"
+        self.renting[request] = (offer, count)
+        defer.ensureDeferred(self._rent(request, offer, count))
 
     async def _rent(self, request: str, offer: Offer, count: int) -> None:
         term = self.term
@@ -426,12 +455,16 @@
     async def images_loop(self) -> None:
         """Records where images are, for a successor; what is left of the write budget will do."""
         term = self.term
+        pause_s = IMAGES_S
         while term.alive:
-            await term.sleep(IMAGES_S)
+            await term.sleep(pause_s)
             if not term.confirmed():
                 continue
             half = max(1, term.limits.ops // 2)
-            changed = [m for m in term.machines.values() if not m.images_stored][:half]
+            unrecorded = [m for m in term.machines.values() if not m.images_stored]
+            rounds = len(unrecorded) / half
+            pause_s = max(IMAGES_LEAST_S, IMAGES_S * min(1.0, IMAGES_ROUNDS / max(rounds, 1.0)))
+            changed = unrecorded[:half]
             dropped = sorted(self._images_dropped)[:half]
             count = len(changed) + len(dropped)
             if not count or term.writes.level() < 2 * count or not term.writes.take(count):
--- a/stileloft/coordination/node.py
+++ b/stileloft/coordination/node.py
@@ -167,7 +167,7 @@
                 messages.encode,
                 messages.decode,
                 "application/cbor",
-                keep=lambda path: path == REPORT_PATH or self.sockets.keep_users(),
+                keep=self.keep_request,
             ),
         )
         admin = AdminResources(self)
@@ -276,6 +276,13 @@
     def healthy(self) -> bool:
         return bool(self.types) and not self.refused
 
+    def keep_request(self, path: str) -> bool:
+        """Whether a connection on which something was asked here is kept once that is answered."""
+        if path != REPORT_PATH:
+            return self.sockets.keep_users()
+        # Workers leave a node that does not lead by themselves.
+        return self.term is None or self.sockets.keep_reports(len(self.term.machines))
+
     def keep_commands(self) -> bool:
         """Whether a connection to a worker is kept once its request is answered."""
         term, deployment = self.term, self.settings.deployment
--- a/stileloft/protocol/cloud.py
+++ b/stileloft/protocol/cloud.py
@@ -1,13 +1,26 @@
 """The client of the cloud that rents machines."""
 
+from dataclasses import dataclass
+
 import msgspec
 
 from stileloft.protocol.messages import ListedMachine, MachineType
 from stileloft.protocol.state import Budget
 from stileloft.transport.client import Client, ConnectionFailedError, NoResponseError, Reply
 
+# Machines in one request or answer, as the protocol limits them.
 RENT_LIMIT = 50
 RELEASE_LIMIT = 100
+PAGE_LIMIT = 500
+
+
+@dataclass(frozen=True, slots=True)
+class MachinePage:
+    """A part of the cloud's list of machines, in the order of their names."""
+
+    machines: list[ListedMachine]
+    more: bool
+    """Whether there are machines after the last of these."""
 
 
 class CloudError(Exception):
@@ -39,19 +52,19 @@
             raise CloudError(f"status {reply.status}")
         return msgspec.convert(reply.body["builds"], list[MachineType])
 
-    async def machines(self) -> list[ListedMachine]:
-        found: list[ListedMachine] = []
-        after = ""
-        while True:
-            since = f"since={after}&" if after else ""
-            reply = await self._ask("GET", f"/hosts?{since}limit=500")
-            if reply.status != 200:
-                raise CloudError(f"status {reply.status}")
-            page = msgspec.convert(reply.body["hosts"], list[ListedMachine])
-            found += page
-            if not reply.body.get("more") or not page:
-                return found
-            after = page[-1].id
+    @property
+    def requests_per_s(self) -> float:
+        """Our own budget of requests."""
+        return self._budget.per_s
+
+    async def machines_after(self, name: str) -> MachinePage:
+        """The machines that follow a name in the cloud's list; the first ones for an empty name."""
+        since = f"since={name}&" if name else ""
+        reply = await self._ask("GET", f"/hosts?{since}limit={PAGE_LIMIT}")
+        if reply.status != 200:
+            raise CloudError(f"status {reply.status}")
+        machines = msgspec.convert(reply.body["hosts"], list[ListedMachine])
+        return MachinePage(machines, bool(reply.body.get("more")) and bool(machines))
 
     async def rent(self, request: str, type_name: str, zone: str, spot: bool, count: int) -> list[str]:
         body = {"hire": request, "build": type_name, "yard": zone, "loaner": spot, "count": min(count, RENT_LIMIT)}
--- a/tests/rules.py
+++ b/tests/rules.py
@@ -8,7 +8,6 @@
     from tests.simulation.world import World
 
 LIMITS = {"core": 48.0, "edge": 40.0, "guest": 64.0}
-CANCEL_S = 30.0
 KNOWN_S = 75.0
 BEGUN_S = 240.0
 WAITING_S = 90.0
@@ -58,7 +57,7 @@
             self.break_("ran_twice", f"{task} is on {other.name} and starts on {machine.name}")
         job = self.job_of(task)
         at = self.cancelled_at.get(job["nameId"])
-        if at is not None and now > at + CANCEL_S:
+        if at is not None and now > at + self.world.CANCEL_S:
             self.break_("ran_cancelled", f"{task} starts")
         if at is not None and now > at + IN_FLIGHT_S:
             self.started_after.append(f"{now:.2f} {task}, {now - at:.1f} s after its cancellation was confirmed")
@@ -210,5 +209,5 @@
         """To be called now and then: nothing of a cancelled job may still be on a machine."""
         for task, machine in self.where.items():
             at = self.cancelled_at.get(task.rpartition("/")[0])
-            if at is not None and self.world.now > at + CANCEL_S:
+            if at is not None and self.world.now > at + self.world.CANCEL_S:
                 self.break_("ran_cancelled", f"{task} is on {machine.name}")
--- a/tests/simulation/cloud.py
+++ b/tests/simulation/cloud.py
@@ -1,5 +1,6 @@
 """The cloud: rentals, returns, and a list that lags."""
 
+import math
 from typing import TYPE_CHECKING, Any
 
 from stileloft.transport.client import Reply
@@ -10,6 +11,13 @@
     from tests.simulation.world import World
 
 
+LIST_LAG_S = 5.0
+# The oldest list that is shown, in lags.
+OLDEST_LIST = 3.0
+MOST_LISTED = 500
+MOST_RENTED = 50
+
+
 class Cloud:
     def __init__(self, world: "World", capacity: int) -> None:
         self.world = world
@@ -21,6 +29,10 @@
         self.machines: dict[str, Machine] = {}
         self.requests: dict[str, list[str]] = {}
         self.history: list[tuple[float, list[dict[str, Any]]]] = []
+        self.rps = 8.0
+        self._allowed = (2 * self.rps, 0.0)
+        """What is left of the burst of requests, and when that was counted."""
+        self.refused_rates = 0
         self.down_until = 0.0
         self.boots_until = 0.0
         self.boots = (0.0, 0.0, 0.0)
@@ -29,6 +41,7 @@
 
     def loop(self) -> None:
         self.world.clock.callLater(1.0, self.loop)
+        del self.history[: -math.ceil(OLDEST_LIST * LIST_LAG_S)]
         self.history.append(
             (
                 self.world.now,
@@ -50,6 +63,9 @@
     def handle(self, _caller: str, _method: str, path: str, body: Any) -> Reply:
         if self.world.now < self.down_until:
             return Reply(503, {"error": "trouble"})
+        if not self._within_rate():
+            self.refused_rates += 1
+            return Reply(429, {"error": "too many"})
         if path == "/machine_types":
             return Reply(200, {"builds": TYPES})
         if path == "/hosts/release":
@@ -60,9 +76,23 @@
             return Reply(200, {})
         if path == "/hosts":
             return self.rent(body)
-        lag = 5.0 * self.world.random.uniform(0.5, 2.0)
+        return self.listed(dict(part.split("=", 1) for part in path.partition("?")[2].split("&")))
+
+    def listed(self, arguments: dict[str, str]) -> Reply:
+        """A page of the list, as it was a while ago."""
+        lag = LIST_LAG_S * self.world.random.uniform(0.5, 2.0)
         shown = [listed for at, listed in self.history if at <= self.world.now - lag]
-        return Reply(200, {"hosts": shown[-1] if shown else [], "more": False})
+        since, limit = arguments.get("since", ""), min(MOST_LISTED, int(arguments.get("limit", MOST_LISTED)))
+        following = [item for item in (shown[-1] if shown else []) if item["nameId"] > since]
+        return Reply(200, {"hosts": following[:limit], "more": len(following) > limit})
+
+    def _within_rate(self) -> bool:
+        """Whether a request is within the limit, with bursts of two seconds' worth."""
+        left, at = self._allowed
+        left = min(2 * self.rps, left + (self.world.now - at) * self.rps)
+        taken = left >= 1.0
+        self._allowed = left - taken, self.world.now
+        return taken
 
     def rent(self, body: Any) -> Reply:
         if body["hire"] in self.requests:
@@ -71,7 +101,7 @@
         present = [
             m for m in self.machines.values() if (m.kind, m.zone, m.spot) == (kind, body["yard"], body["loaner"])
         ]
-        count = min(body["count"], self.capacity - len(present), self.most - len(self.machines))
+        count = min(body["count"], MOST_RENTED, self.capacity - len(present), self.most - len(self.machines))
         if count <= 0 or kind["label"] not in self.kinds:
             return Reply(503, {"error": "no capacity"})
         names = [self.add(kind, body["yard"], body["loaner"]).name for _ in range(count)]
--- a/tests/simulation/controllers.py
+++ b/tests/simulation/controllers.py
@@ -1,6 +1,7 @@
 """The controllers' processes: starts, ends, standing still, and the reports that come to them."""
 
 import contextlib
+import math
 from collections.abc import Callable
 from typing import Any
 
@@ -8,6 +9,7 @@
 
 from stileloft.bookkeeping.records import split_task
 from stileloft.protocol import messages
+from stileloft.protocol.users import REPORT_PATH
 from stileloft.transport.client import ConnectionFailedError, NoResponseError, Reply
 from tests.simulation.clients import Connection
 from tests.simulation.deployment import SETTINGS
@@ -15,10 +17,23 @@
 from tests.simulation.processes import Process
 from tests.versions import Version
 
+# How often connections that were given up are cleared away.
+PRUNE_S = 0.05
+
 
 class Controllers:
     """The part of the world that runs nodes."""
 
+    def have_no_connections(self) -> None:
+        """Before any node has started."""
+        self.connections: dict[str, dict[str, float]] = {name: {} for name in self.names}
+        """Connections that each node has made, and until when they are kept."""
+        self.pruned_at = dict.fromkeys(self.names, 0.0)
+        self.report_connections: dict[str, set[str]] = {name: set() for name in self.names}
+        """Machines that have a connection open to each node for their reports."""
+        self.most_sockets = math.inf
+        """A node with so many sockets takes no further connection for reports."""
+
     def settings(self, name: str) -> str:
         number = self.names.index(name)
         peers = "".join(
@@ -66,9 +81,16 @@
     def sockets(self, name: str) -> int:
         """Connections that a node has open: those of the workers that report to it, and its own."""
         made = self.connections[name]
-        for address in [address for address, until in made.items() if until < self.now]:
-            del made[address]
-        return len(made) + sum(1 for m in self.cloud.machines.values() if m.up and m.target == name)
+        if self.now - self.pruned_at[name] >= PRUNE_S:
+            self.pruned_at[name] = self.now
+            for address in [address for address, until in made.items() if until < self.now]:
+                del made[address]
+        return len(made) + len(self.report_connections[name])
+
+    def keeps_report_connection(self, name: str) -> bool:
+        """Whether a node leaves a worker's connection open after its answer; the versions before always do."""
+        keep = getattr(self.nodes[name], "keep_request", None)
+        return keep is None or keep(REPORT_PATH)
 
     def kill(self, name: str, back_after: float | None = 5.0, version: Version | None = None) -> None:
         """Ends a process; it comes back as it was, or as another version."""
@@ -76,6 +98,8 @@
         self.versions[name] = version or self.versions[name]
         self.frozen.pop(name, None)
         self.connections[name] = {}
+        for machine in list(self.report_connections[name]):
+            self.every_machine[machine].disconnect()
         self.nodes[name] = None
         if back_after is not None:
             self.clock.callLater(back_after, self.start, name)
--- a/tests/simulation/state_service.py
+++ b/tests/simulation/state_service.py
@@ -11,6 +11,12 @@
     from tests.simulation.world import World
 
 
+# What an answer holds at the most, and how many changes are kept for watches.
+MOST_ITEMS = 1000
+MOST_BYTES = 512 * 1024
+MOST_CHANGES = 10_000
+
+
 class StateService:
     """The key-value store, with leases, watches and outages."""
 
@@ -21,6 +27,8 @@
         self.leases: dict[int, tuple[float, float]] = {}
         self.next_lease = 0
         self.changes: list[tuple[str, Any, int]] = []
+        self.compacted = 0
+        """Changes up to this revision are no longer known."""
         self.down_until = 0.0
         self.refuses: dict[str, float] = {}
         self.value_bytes = int(world.value_kb * 1024)
@@ -115,9 +123,7 @@
             return Reply(200, {"path": path[4:], "v": item[0], "stamp": item[1], "hold": item[2]})
         if path == "/kv":
             since, limit = arguments.get("since", ""), int(arguments.get("limit", 1000))
-            keys = sorted(k for k in self.items if k.startswith(arguments["under"]) and k > since)
-            pairs = [{"path": k, "v": self.items[k][0], "stamp": self.items[k][1]} for k in keys[:limit]]
-            return Reply(200, {"pairs": pairs, "more": len(keys) > limit, "epoch": self.revision})
+            return self.page(arguments["under"], since, min(limit, MOST_ITEMS))
         if path == "/commit":
             return self.commit(body)
         if path == "/holds":
@@ -137,6 +143,19 @@
             return Reply(200, {})
         return self.watch(caller, arguments)
 
+    def page(self, prefix: str, since: str, limit: int) -> Reply:
+        """Items in the order of their keys, as many as an answer holds."""
+        keys = sorted(k for k in self.items if k.startswith(prefix) and k > since)
+        pairs: list[dict[str, Any]] = []
+        size = 0
+        for key in keys[:limit]:
+            value, version, _ = self.items[key]
+            size += len(json.dumps(value)) + len(key)
+            if pairs and size > MOST_BYTES:
+                break
+            pairs.append({"path": key, "v": value, "stamp": version})
+        return Reply(200, {"pairs": pairs, "more": len(keys) > len(pairs), "epoch": self.revision})
+
     def commit(self, body: Any) -> Reply:
         if len(body["writes"]) > self.txn_ops or len(body["guards"]) > 4 * self.txn_ops:
             self.refused_sizes += 1
@@ -161,6 +180,12 @@
 
     def watch(self, caller: str, arguments: dict[str, str]) -> defer.Deferred:
         since, prefix = int(arguments["since"]), arguments["under"]
+        if len(self.changes) > MOST_CHANGES:
+            self.compacted = self.changes[-MOST_CHANGES - 1][2]
+            del self.changes[:-MOST_CHANGES]
+        if since < self.compacted:
+            answer: defer.Deferred = defer.succeed(Reply(410, {"epoch": self.revision}))
+            return answer
         until = self.world.now + int(arguments["blockMs"]) / 1000
         answered: defer.Deferred = defer.Deferred()
 
--- a/tests/simulation/workers.py
+++ b/tests/simulation/workers.py
@@ -24,6 +24,8 @@
         self.notice: float | None = None
         self.tasks: dict[str, dict[str, Any]] = {}
         self.target = world.random.choice(world.names)
+        self.connected_to: str | None = None
+        """The node to which it has a connection open for its reports."""
         self.reporting = False
         self.images: set[str] = set()
 
@@ -34,6 +36,10 @@
             self.loop()
             self.lease_loop()
 
+    def boot_once(self) -> None:
+        if not self.up:
+            self.boot()
+
     def report(self) -> dict[str, Any]:
         self.seq += 1
         return {
@@ -55,12 +61,13 @@
     def lease_loop(self) -> None:
         if self.gone:
             return
-        self.world.clock.callLater(0.2, self.lease_loop)
+        self.world.clock.callLater(self.world.LAPSE_S, self.lease_loop)
         if not self.hung:
             self.lapse()
 
     def lapse(self) -> None:
-        if self.world.now - self.renewed > 12.0:
+        if self.world.now - self.renewed > self.world.LEASE_S:
+            self.world.sessions_lost += 1
             for name in list(self.tasks):
                 self.leave(name)
             self.tasks.clear()
@@ -70,7 +77,7 @@
     def loop(self) -> None:
         if self.gone:
             return
-        self.world.clock.callLater(2.0 * self.world.random.uniform(0.75, 1.25), self.loop)
+        self.world.clock.callLater(self.world.REPORT_S * self.world.random.uniform(0.75, 1.25), self.loop)
         self.send_report()
 
     def send_report(self) -> None:  # noqa: C901 - one case an answer
@@ -78,6 +85,11 @@
             return
         self.reporting = True
         sent, session, target = self.world.now, self.session, self.target
+        if not self.connect(target):
+            self.reporting = False
+            self.next_node()
+            self.world.clock.callLater(1.0, self.send_report)
+            return
         waiting = self.world.send(
             self.name, target, lambda: self.world.to_node(target, lambda: self.world.deliver_report(target, body))
         )
@@ -88,6 +100,8 @@
             self.reporting = False
             if timer.active():
                 timer.cancel()
+            if reply.status != 200 or not self.world.keeps_report_connection(target):
+                self.disconnect()
             if self.gone or self.hung or session != self.session:
                 return
             if reply.status == 421:
@@ -110,11 +124,31 @@
             self.reporting = False
             if timer.active():
                 timer.cancel()
-            names = self.world.names
-            self.target = names[(names.index(self.target) + 1) % len(names)]
+            self.disconnect()
+            self.next_node()
 
         waiting.addCallbacks(answered, failed)
 
+    def connect(self, target: str) -> bool:
+        """Whether there is a connection to report on; none is made while the node has no socket left."""
+        if self.connected_to == target:
+            return True
+        if self.world.sockets(target) >= self.world.most_sockets:
+            return False
+        self.disconnect()
+        self.connected_to = target
+        self.world.report_connections[target].add(self.name)
+        return True
+
+    def disconnect(self) -> None:
+        if self.connected_to is not None:
+            self.world.report_connections[self.connected_to].discard(self.name)
+            self.connected_to = None
+
+    def next_node(self) -> None:
+        names = self.world.names
+        self.target = names[(names.index(self.target) + 1) % len(names)]
+
     def command(self, body: Any) -> Reply:
         if self.hung:
             raise NoResponseError("hangs")
@@ -214,5 +248,6 @@
 
     def die(self) -> None:
         self.gone = True
+        self.disconnect()
         for name in list(self.tasks):
             self.leave(name)
--- a/tests/simulation/world.py
+++ b/tests/simulation/world.py
@@ -21,6 +21,11 @@
 class World(Controllers, Network, Users):
     """Everything outside the nodes, the nodes, and the rules they have to keep."""
 
+    # Of the settings; a subclass that changes them has to change its `settings` alike.
+    REPORT_S, LEASE_S, CANCEL_S = 2.0, 12.0, 30.0
+    LAPSE_S = 0.2
+    """How often a worker looks whether its lease has run out."""
+
     def __init__(
         self,
         seed: int,
@@ -52,8 +57,9 @@
         self.deaf: dict[str, float] = {}
         """Hosts to which nothing comes through until then, while what they send arrives."""
         self.frozen: dict[str, float] = {}
-        self.connections: dict[str, dict[str, float]] = {name: {} for name in self.names}
-        """Connections that each node has made, and until when they are kept."""
+        self.have_no_connections()
+        self.sessions_lost = 0
+        """How many workers' leases have run out."""
         self.peers_refuse = 0.0
         """Until when controllers refuse each other's connections."""
         self.mute: dict[str, float] = {}
--- /dev/null
+++ b/tests/test_fleet_size.py
@@ -0,0 +1,111 @@
+"""Four thousand machines on nodes with some hundreds of sockets: nothing of a fixed size stands in their way."""
+
+import resource
+
+import pytest
+
+from stileloft.coordination.scaling import Plan
+from stileloft.protocol.cloud import RENT_LIMIT
+from stileloft.transport import sockets
+from stileloft.transport.sockets import Sockets
+from tests.simulation.fleet import JOBS, FleetWorld
+from tests.simulation.world import World
+
+MACHINES = 4000
+
+
+def finished_jobs(world: World) -> int:
+    return sum(world.rules.last.get(job) == "done" for job in world.jobs)
+
+
+def known_machines(world: World) -> int:
+    """Machines that the present leader hears."""
+    term = world.nodes[world.leader()].term
+    return sum(1 for machine in term.machines.values() if machine.trusted)
+
+
+def run_until_done(world: World, longest_s: float) -> None:
+    end = world.now + longest_s
+    while world.now < end and finished_jobs(world) < JOBS:
+        world.run(5)
+    world.rules.check_cancelled()
+    assert world.rules.broken == []
+    assert finished_jobs(world) == JOBS
+    assert world.cloud.refused_rates == 0
+
+
+@pytest.mark.parametrize("keeps", [False, True])
+def test_no_lease_runs_out_with_far_fewer_sockets_than_machines(keeps: bool, monkeypatch: pytest.MonkeyPatch) -> None:
+    """With `keeps`, workers' connections stay open as in small fleets; others are refused, and lose their leases."""
+    if keeps:
+        monkeypatch.setattr(Sockets, "keep_reports", lambda *_: True)
+    world = FleetWorld(1, MACHINES)
+    if keeps:
+        world.run(2 * world.LEASE_S)
+        assert world.sessions_lost > MACHINES / 4
+        return
+    world.submit_batch(12.0)
+    run_until_done(world, 90.0)
+    assert world.sessions_lost == 0
+    assert known_machines(world) >= MACHINES
+    assert all(world.sockets(name) <= world.SOCKETS for name in world.names)
+
+
+def test_a_new_leader_takes_over_the_fleet_before_a_lease_ends() -> None:
+    world = FleetWorld(2, MACHINES)
+    world.submit_batch(8.0)
+    world.run(20)
+    world.kill(world.leader())
+    world.run(world.LEASE_S / 2)
+    assert known_machines(world) >= MACHINES
+    run_until_done(world, 90.0)
+    assert world.sessions_lost == 0
+
+
+def test_all_controllers_are_away_for_longer_than_a_lease() -> None:
+    """All workers end their tasks; every one of them finds the way back, and the batch is finished."""
+    world = FleetWorld(3, MACHINES)
+    world.submit_batch(8.0)
+    world.run(20)
+    for name in world.names:
+        world.kill(name, back_after=1.3 * world.LEASE_S)
+    world.run(1.3 * world.LEASE_S)
+    assert world.sessions_lost >= MACHINES
+    world.run(world.LEASE_S)
+    assert known_machines(world) >= MACHINES
+    lost = world.sessions_lost
+    run_until_done(world, 120.0)
+    assert world.sessions_lost == lost
+
+
+def test_a_list_of_many_pages_is_read_within_the_clouds_limit() -> None:
+    """In one go it would take more requests than the cloud allows, and none of it would be known."""
+    world = FleetWorld(4, 6000, booted=False)
+    world.run(20)
+    assert len(world.nodes[world.leader()].term.machines) >= 6000
+    assert world.cloud.refused_rates == 0
+
+
+def test_rentals_of_more_than_a_request_holds_are_made_in_several() -> None:
+    """In one request the rest would not come, and look as if the cloud had no more of these machines."""
+    world = World(seed=5, capacity=1000, loss=0.0)
+    world.run(5)
+    fleet = world.nodes[world.leader()].term.fleet
+    before = len(world.cloud.machines)
+    wanted = 2 * RENT_LIMIT + 20
+    fleet.apply(Plan(rent={("small", "a", True): wanted}))
+    world.run(2)
+    assert len(world.cloud.machines) - before >= wanted
+    assert not fleet.refused_now()
+
+
+@pytest.mark.parametrize(("soft", "hard", "expected"), [(1024, 4096, 2064), (1024, 1500, 1500), (4096, 4096, None)])
+def test_as_many_files_may_be_open_as_there_are_sockets(
+    soft: int, hard: int, expected: int | None, monkeypatch: pytest.MonkeyPatch, caplog: pytest.LogCaptureFixture
+) -> None:
+    limits: list[tuple[int, int]] = []
+    monkeypatch.setattr(resource, "getrlimit", lambda _: (soft, hard))
+    monkeypatch.setattr(resource, "setrlimit", lambda _, wanted: limits.append(wanted))
+    sockets.allow_open_files(2000)
+    assert limits == ([] if expected is None else [(expected, hard)])
+    assert ("max_sockets is 2000" in caplog.text) == (expected == 1500)
--- a/tests/test_overlapping_faults.py
+++ b/tests/test_overlapping_faults.py
@@ -9,12 +9,13 @@
 from stileloft.coordination.rounds import Rounds
 from stileloft.protocol import messages
 from stileloft.transport.client import NoResponseError, Reply
-from tests.rules import CANCEL_S
 from tests.simulation.deployment import TYPES
 from tests.simulation.workers import Machine
 from tests.simulation.world import World
 from tests.test_rules import crash_leader, finish, hang_machines, load, spot_wave
 
+CANCEL_S = World.CANCEL_S
+
 # -- troubles ----------------------------------------------------------------------------------------------------
 
 Trouble = Callable[[World], None]
