A new leader takes no machine for slow; small jobs' records are measured without encoding them

Cause: the run time of a task that a former leader had placed counted from when the new one first saw it run. Only tasks that this leader placed count now; the test fails without it.

`_leaves_record` and `_leaves_job_record` asked the same; a job's `served_at` is `last_placed_at`; the two sizes of chunks share what they have in common.

--- a/stileloft/bookkeeping/model.py
+++ b/stileloft/bookkeeping/model.py
@@ -1,5 +1,6 @@
 """The leader's picture: jobs, their tasks' placements, machines."""
 
+import functools
 from collections.abc import Iterator
 from dataclasses import dataclass, field
 from typing import Any
@@ -28,6 +29,9 @@
     sent_session: int | None = None
     """The session in which we last sent its start; None if we never did."""
     running_since: float | None = None
+    """When this leader first saw it run."""
+    placed_here: bool = False
+    """This leader placed it, and so saw its beginning; of others it is not known for how long they had run."""
     bound_at: float = 0.0
     done: bool = False
     """With ENDED: the task completed, rather than having to run again."""
@@ -141,7 +145,7 @@
         self.begun = False
         """One of its tasks has run."""
         self.known_since = 0.0
-        self.served_at = float("-inf")
+        self.last_placed_at = float("-inf")
         """When it was accepted, and when a task of it was last placed, by this leader's clock."""
         self.counts_stored = (0, 0)
         self.counts_at = 0.0
@@ -211,6 +215,23 @@
         """Whether its own record in the store holds its only chunk."""
         return any(chunk.inline for chunk in self.chunks.values())
 
+    @functools.cached_property
+    def _empty_record_bytes(self) -> int:
+        """No less than its record takes without a chunk."""
+        return records.size_of(self.record(True)) + records.COURSE_BYTES
+
+    def inline_record_bytes(self) -> int:
+        """No less than its record takes with its only chunk in it, found without encoding either."""
+        placements = self.chunks[0].placements.values() if 0 in self.chunks else ()
+        finished = len(self.chunks[0].done) if 0 in self.chunks else 0
+        names = sum(records.ESCAPED_BYTES * (len(p.machine) + len(p.zone)) for p in placements)
+        return (
+            self._empty_record_bytes
+            + names
+            + records.PLACEMENT_BYTES * len(placements)
+            + records.RANGE_BYTES * (finished + len(placements))
+        )
+
     def add(self, placement: Placement) -> None:
         self.chunk_of(placement.index).placements[placement.index] = placement
         self.placed += 1
--- a/stileloft/bookkeeping/records.py
+++ b/stileloft/bookkeeping/records.py
@@ -41,13 +41,14 @@
 
 # A placement is at most some 70 characters of JSON, a finished range 16.
 BYTES_PER_TASK = 90
+LEAST_PER_CHUNK = 8
 MOST_PER_CHUNK = 256
 MOST_PER_SIZED_CHUNK = 96
 
 
 def chunk_size(value_kb: float) -> int:
     """Tasks per chunk such that a chunk's record stays within half of the limit."""
-    return max(8, min(MOST_PER_CHUNK, int(value_kb * 1024 / 2 / BYTES_PER_TASK)))
+    return max(LEAST_PER_CHUNK, min(MOST_PER_CHUNK, int(value_kb * 1024 / 2 / BYTES_PER_TASK)))
 
 
 # The same as seen, and what a chunk's record takes beside its placements.
@@ -55,13 +56,21 @@
 # The same of machines and zones with rather long names.
 LONG_BYTES_PER_TASK = 56
 CHUNK_BYTES = 450
+# The most that a placement takes beside the names in it, that a character of a name takes, and that a range takes.
+PLACEMENT_BYTES = 40
+ESCAPED_BYTES = 6
+RANGE_BYTES = 18
 # A job's description must leave so much of a value for what is recorded of its course.
 COURSE_BYTES = 256
 
 
 def tasks_in(value_bytes: int) -> int:
     """Placements of the usual length that a chunk's record has room for."""
-    return max(8, (value_bytes - CHUNK_BYTES) // USUAL_BYTES_PER_TASK)
+    return _placements_in(value_bytes, USUAL_BYTES_PER_TASK)
+
+
+def _placements_in(value_bytes: int, bytes_per_task: int) -> int:
+    return max(LEAST_PER_CHUNK, (value_bytes - CHUNK_BYTES) // bytes_per_task)
 
 
 def sized_chunk_size(value_bytes: int) -> int:
@@ -70,7 +79,7 @@
     Each chunk that is written is a change of the store, however many of its tasks have changed. But it must not take
     more records than a transaction has changes if the store's limits become lower than was announced.
     """
-    return min(MOST_PER_SIZED_CHUNK, max(8, (value_bytes - CHUNK_BYTES) // LONG_BYTES_PER_TASK))
+    return min(MOST_PER_SIZED_CHUNK, _placements_in(value_bytes, LONG_BYTES_PER_TASK))
 
 
 def size_of(value: Any) -> int:
--- a/stileloft/coordination/entries.py
+++ b/stileloft/coordination/entries.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING, Any
 
 from stileloft.bookkeeping import records
-from stileloft.bookkeeping.model import ENDED, PLANNED, Chunk, Job, Placement
+from stileloft.bookkeeping.model import ENDED, PLANNED, Job, Placement
 from stileloft.coordination import gangs
 from stileloft.settings import State
 
@@ -95,7 +95,8 @@
         entry = Entry(job, inline=self._is_inline(job))
         gang_completed = job.spec.is_gang and not job.over and gangs.completed(job)
         done_after = job.done
-        for number in [n for n, chunk in job.chunks.items() if chunk.dirty or self._leaves_record(entry, chunk)]:
+        moves = self._leaves_job_record(entry) and not job.over
+        for number in [n for n, chunk in job.chunks.items() if chunk.dirty or moves]:
             if entry.guards and entry.changes >= max(1, room - JOB_CHANGES):
                 break
             done_after += self._enter_chunk(entry, number)
@@ -117,16 +118,14 @@
             return False
         if any(chunk.stored for chunk in job.chunks.values()):
             return False  # it has a record of its own, from an earlier format, and keeps it
-        return records.size_of(self._job_record(job, inline=True)) <= INLINE_PART * self._limit()
+        most = INLINE_PART * self._limit()
+        # It is asked at each look at a job, most of which find nothing to write: encoding the record each time took a
+        # good part of the ledger's time.
+        return job.inline_record_bytes() <= most or records.size_of(self._job_record(job, inline=True)) <= most
 
     def _limit(self) -> int:
         return self._term.limits.value_bytes
 
-    @staticmethod
-    def _leaves_record(entry: Entry, chunk: Chunk) -> bool:
-        """Whether the job's record has no room any more for the chunk that it holds."""
-        return chunk.inline and not entry.inline and not entry.job.over
-
     def _finish(self, entry: Entry, room: int) -> None:
         """The job is done, which is told in one step, whatever it is stored in.
 
@@ -155,6 +154,7 @@
 
     @staticmethod
     def _leaves_job_record(entry: Entry) -> bool:
+        """Whether the job's record has no room any more for the chunk that it holds."""
         return entry.job.has_inline_chunk and not entry.inline
 
     def _counts_are_due(self, entry: Entry) -> bool:
--- a/stileloft/coordination/lifecycle.py
+++ b/stileloft/coordination/lifecycle.py
@@ -102,7 +102,10 @@
             job.backoff_s = 0.0
             took = now - placement.running_since
             # Attempts are counted per chunk: beyond its length, a task may have run before and saved.
-            if job.spec.is_gang or placement.attempt <= job.chunk_length(placement.index // job.size):
+            fresh = job.spec.is_gang or placement.attempt <= job.chunk_length(placement.index // job.size)
+            # A task that a former leader placed had run for a while when it was first seen. Taken for short, it made
+            # the machines of its job's later tasks look slow: a new leader gave many of them back.
+            if fresh and placement.placed_here:
                 if not job.durations:  # one sample a job, however many tasks it has
                     self._term.workload.record_run_time(job.spec, took)
                 self._compare_speed(machine, job, took)
--- a/stileloft/coordination/rounds.py
+++ b/stileloft/coordination/rounds.py
@@ -211,8 +211,9 @@
         planned = Placement(
             job.id, index, chunk.attempt, machine.id, machine.zone, machine.spot, PLANNED, shielded=shielded
         )
+        planned.placed_here = True
         job.add(planned)
-        job.served_at = self._term.clock.seconds()
+        job.last_placed_at = self._term.clock.seconds()
         machine.placements[planned.key] = planned
         machine.idle_since = machine.view = None
         self._cluster.nominations.pop(planned.key, None)
--- a/stileloft/coordination/snapshot_builder.py
+++ b/stileloft/coordination/snapshot_builder.py
@@ -98,7 +98,7 @@
                     frozenset(avoided.get(job.id, ())),
                     self._aged(job, aged_s),
                     begun=job.begun,
-                    overdue=now - max(job.served_at, job.known_since) > OVERDUE_PART * BEGIN_S,
+                    overdue=now - max(job.last_placed_at, job.known_since) > OVERDUE_PART * BEGIN_S,
                 )
             )
         return found
