--- a/stileloft/bookkeeping/model.py
+++ b/stileloft/bookkeeping/model.py
@@ -110,6 +110,9 @@
 class Job:
     """An accepted job, or what is left of a cancelled one."""
 
+    held: frozenset[int] = frozenset()
+    """Tasks that may have completed, and are not started before an operator has decided."""
+
     def __init__(self, spec: JobSpec, submitted: float, size: int) -> None:
         self.spec = spec
         self.submitted = submitted
@@ -203,6 +206,8 @@
             for index in range(first, first + self.chunk_length(number)):
                 if room <= 0:
                     break
+                if index in self.held:
+                    continue
                 if chunk is None or (index not in chunk.done and index not in chunk.placements):
                     found.append(index)
                     room -= 1
--- a/stileloft/bookkeeping/records.py
+++ b/stileloft/bookkeeping/records.py
@@ -10,6 +10,12 @@
     images/<machine>     images that a machine is likely to have
     rented/<slot>        a rental carried out lately, whose machines the cloud's list may not show yet
 
+With the feature `rebuild` also:
+
+    identity             whose store it is, and how often it was rebuilt
+    ended/<number>       how jobs ended that a rebuild found, many to a record; kept for good
+    undecided/<job>      tasks of which a rebuild could not tell whether they completed
+
 Nothing is stored for a task that was never placed, so a job of 100,000 tasks is
 one record until its tasks start.
 
@@ -35,6 +41,9 @@
 INLINE_CHUNK = "k"
 RENTED = "rented/"
 IMAGES = "images/"
+IDENTITY = "identity"
+ENDED = "ended/"
+UNDECIDED = "undecided/"
 ACTIVE = "active/"
 TASKS = "tasks/"
 FINAL = "final/"
--- a/stileloft/cli.py
+++ b/stileloft/cli.py
@@ -3,6 +3,7 @@
 import argparse
 import logging
 import sys
+from collections.abc import Callable
 from typing import Any
 
 from stileloft import __version__
@@ -14,6 +15,7 @@
 def parser() -> argparse.ArgumentParser:
     top = argparse.ArgumentParser(prog="stileloft", description="A cluster scheduler.")
     top.add_argument("--version", action="version", version=f"stileloft {__version__}")
+    top.add_argument("--features", metavar="FILE", help="which features are on (TOML); all are off without it")
     top.add_argument("--config", metavar="FILE", help="the same as `serve --config FILE`")
     commands = top.add_subparsers(dest="command", metavar="COMMAND")
     serve_command = commands.add_parser("serve", help="run a controller")
@@ -26,17 +28,29 @@
     actions.add_parser("show", help="print the settings")
     change = actions.add_parser("set", help="change some of them, on all nodes")
     change.add_argument("changes", metavar="NAME=VALUE", nargs="+", help="the value as JSON, such as headroom=1.5")
+    rebuild = commands.add_parser("rebuild", help="the rebuild of lost state, and what it left undecided")
+    rebuild.add_argument("--node", metavar="ADDRESS", required=True, help="a controller's peer address, host:port")
+    steps = rebuild.add_subparsers(dest="action", metavar="ACTION", required=True)
+    steps.add_parser("show", help="print whether the store is sound, how far a rebuild is, and what is undecided")
+    decide = steps.add_parser("decide", help="decide what is undecided of a job")
+    decide.add_argument("job", metavar="JOB")
+    decide.add_argument("decision", choices=["run", "done", "forget"])
+    decide.add_argument("--task", type=int, metavar="NUMBER", help="this task only; else all that are undecided")
     return top
 
 
-def serve(path: str) -> int:
+def serve(path: str, features_path: str | None) -> int:
     # Imported here, since the other commands have no use for the network.
-    from stileloft import logs, settings
+    from stileloft import features, logs, settings
 
     try:
         loaded = settings.load(path)
     except settings.SettingsError as error:
         return refuse(path, error)
+    try:
+        enabled = features.Features() if features_path is None else features.load(features_path)
+    except features.FeaturesError as error:
+        return refuse(str(features_path), error)
     logs.configure()
     from twisted.internet import error as net_error
     from twisted.internet import reactor as installed
@@ -46,7 +60,7 @@
 
     allow_open_files(loaded.deployment.quota.max_sockets)
     reactor: Any = installed
-    node = Node(reactor, loaded)
+    node = Node(reactor, loaded, features=enabled)
     try:
         node.start()
     except net_error.CannotListenError as error:
@@ -61,51 +75,83 @@
     return USAGE_ERROR
 
 
-def check_config(path: str) -> int:
-    from stileloft import settings
+def check_config(path: str, features_path: str | None) -> int:
+    from stileloft import features, settings
 
     try:
         settings.load(path)
     except settings.SettingsError as error:
         return refuse(path, error)
+    if features_path is not None:
+        try:
+            features.load(features_path)
+        except features.FeaturesError as error:
+            return refuse(features_path, error)
+        print(f"{features_path}: the features are valid")
     print(f"{path}: the settings are valid")
     return 0
 
 
-def administer(node: str, changes: list[str] | None) -> int:
-    """Prints the settings, after the changes if there are any."""
-    import urllib.error
+class UsageError(Exception):
+    """A call that can't be carried out as it stands."""
+
+
+def ask(node: str, path: str, body: Any = None) -> Any:
+    """What a controller's administration API answers."""
     import urllib.request
 
     import orjson
 
-    url = f"http://{node}/settings"
+    request = urllib.request.Request(f"http://{node}{path}")
+    if body is not None:
+        headers = {"Content-Type": "application/json"}
+        request = urllib.request.Request(f"http://{node}{path}", orjson.dumps(body), headers, method="PUT")
+    with urllib.request.urlopen(request, timeout=ADMIN_TIMEOUT_S) as response:
+        return orjson.loads(response.read())
+
+
+def change_settings(node: str, changes: list[str] | None) -> Any:
+    """The settings, after the changes if there are any."""
+    import orjson
+
+    current = ask(node, "/settings")
+    for change in changes or ():
+        name, equals, text = change.partition("=")
+        if not equals:
+            raise UsageError(f"{change!r} is not NAME=VALUE")
+        try:
+            current["settings"][name] = orjson.loads(text)
+        except orjson.JSONDecodeError:
+            raise UsageError(f"{name}: {text!r} is not a JSON value") from None
+    return ask(node, "/settings", current) if changes else current
+
+
+def rebuild(options: argparse.Namespace) -> Any:
+    """The state of a rebuild, or what is left undecided of a job after a decision."""
+    if options.action == "show":
+        return ask(options.node, "/rebuild")
+    path = f"/rebuild/undecided/{options.job}"
+    return ask(options.node, path, {"task": options.task, "decision": options.decision})
+
+
+def administer(node: str, carry_out: Callable[[], Any]) -> int:
+    """Prints what a controller answers."""
+    import urllib.error
+
+    import orjson
+
     try:
-        with urllib.request.urlopen(url, timeout=ADMIN_TIMEOUT_S) as response:
-            current = orjson.loads(response.read())
-        if changes:
-            for change in changes:
-                name, equals, text = change.partition("=")
-                if not equals:
-                    print(f"stileloft: {change!r} is not NAME=VALUE", file=sys.stderr)
-                    return USAGE_ERROR
-                try:
-                    current["settings"][name] = orjson.loads(text)
-                except orjson.JSONDecodeError:
-                    print(f"stileloft: {name}: {text!r} is not a JSON value", file=sys.stderr)
-                    return USAGE_ERROR
-            request = urllib.request.Request(
-                url, orjson.dumps(current), {"Content-Type": "application/json"}, method="PUT"
-            )
-            with urllib.request.urlopen(request, timeout=ADMIN_TIMEOUT_S) as response:
-                current = orjson.loads(response.read())
+        answer = carry_out()
+    except UsageError as error:
+        print(f"stileloft: {error}", file=sys.stderr)
+        return USAGE_ERROR
     except urllib.error.HTTPError as error:
         print(f"stileloft: {node}: {error.code}: {error.read().decode('utf-8', 'replace')}", file=sys.stderr)
-        return USAGE_ERROR if error.code == 400 else 1
+        return USAGE_ERROR if error.code in (400, 404) else 1
     except (OSError, ValueError) as error:
         print(f"stileloft: {node}: {error}", file=sys.stderr)
         return 1
-    print(orjson.dumps(current, option=orjson.OPT_INDENT_2).decode())
+    print(orjson.dumps(answer, option=orjson.OPT_INDENT_2).decode())
     return 0
 
 
@@ -113,10 +159,12 @@
     top = parser()
     options = top.parse_args(arguments)
     if options.command == "check-config":
-        return check_config(options.file)
+        return check_config(options.file, options.features)
     if options.command == "settings":
-        return administer(options.node, getattr(options, "changes", None))
+        return administer(options.node, lambda: change_settings(options.node, getattr(options, "changes", None)))
+    if options.command == "rebuild":
+        return administer(options.node, lambda: rebuild(options))
     path = options.serve_config if options.command == "serve" else options.config
     if not path:
         top.error("a command or --config FILE is needed")
-    return serve(path)
+    return serve(path, options.features)
--- a/stileloft/coordination/admission.py
+++ b/stileloft/coordination/admission.py
@@ -8,6 +8,7 @@
 
 from stileloft.bookkeeping import records
 from stileloft.bookkeeping.model import active_record, fits_type, separate_chunk
+from stileloft.coordination.integrity import StoreIntegrity
 from stileloft.protocol.messages import JobSpec, MachineType, job_from_wire, state_answer
 from stileloft.protocol.state import (
     PAGE,
@@ -32,6 +33,8 @@
 # within so many seconds share one that begins after the last of them came.
 SPARE_READS = 0.5
 GATHER_S = 0.25
+# When users are to come back while lost records are rebuilt.
+LOST_RETRY_S = 2.0
 
 
 class Catalog(Protocol):
@@ -93,8 +96,10 @@
         writes: Budget,
         wall: Any,
         value_bytes: int,
+        integrity: StoreIntegrity,
     ) -> None:
         self._clock = clock
+        self._integrity = integrity
         self._state = state
         self._teams = teams
         self._catalog = catalog
@@ -112,6 +117,10 @@
         known = self._final.get(spec.id)
         if known is not None:
             return False, known
+        if self._keep_known_end(spec.id) is not None:
+            # It ended before the store was rebuilt, and may have no record of its own there.
+            return False, self._final[spec.id]
+        self._require_sound_store()
         if not self._catalog.types:
             raise RetryLaterError("the machine types are not known yet")
         reason = why_impossible(spec, self._teams, self._catalog.types, self._value_bytes)
@@ -127,8 +136,9 @@
             spec, self._wall(), self._catalog.chunk_size if self._catalog.format >= records.SIZED_FORMAT else None
         )
         try:
-            await self._state.commit({active: 0, final: 0}, {active: value}, [])
-        except ConflictError:
+            revision = await self._state.commit({active: 0, final: 0, **self._integrity.guards()}, {active: value}, [])
+        except ConflictError as conflict:
+            self._look_into(conflict)
             known = await self.status(spec.id)
             if known is None:
                 raise RetryLaterError("the job's record is changing") from None
@@ -137,18 +147,20 @@
             raise InfeasibleJobError("its description is too long to be stored") from None
         except (UnavailableError, UnknownOutcomeError) as error:
             raise self._failed(error, self._writes, 1.0) from None
+        self._integrity.committed({active: value}, [], revision)
         log.info("job %s accepted: %d tasks of class %s for %s", spec.id, spec.tasks, spec.job_class, spec.team)
         return True, state_answer(spec.id, "queued")
 
     async def status(self, job: str) -> dict[str, Any] | None:
         """The job's state, or None if the store says that it was never accepted."""
-        known = self._final.get(job)
+        known = self._final.get(job) or self._keep_known_end(job)
         if known is not None:
             return known
+        self._require_sound_store()
         try:
             if self._reads.level() > SPARE_READS * self._reads.per_s:
                 self._spend(self._reads, 1.0)
-                found = await self._state.get(records.active_key(job))
+                found = await self._state.lookup(records.active_key(job))
                 value = found[0] if found is not None else None
             else:
                 value = (await self._read_together()).get(records.active_key(job))
@@ -185,8 +197,29 @@
             waiting.callback(found)
 
     async def _ended(self, job: str) -> dict[str, Any] | None:
-        found = await self._state.get(records.final_key(job))
-        return None if found is None else self._keep_final(job, found[0])
+        found = await self._state.lookup(records.final_key(job))
+        if found is not None:
+            return self._keep_final(job, found[0])
+        # What is missing may have been lost.
+        await self._integrity.verify_absence()
+        known = self._keep_known_end(job)
+        if known is not None:
+            return known
+        return state_answer(job, "queued", 0, 0) if self._integrity.is_unknown_job(job) else None
+
+    def _require_sound_store(self) -> None:
+        if not self._integrity.is_sound() or not self._integrity.knows_ends():
+            raise RetryLaterError("the state service has lost records, which are being rebuilt", LOST_RETRY_S)
+
+    def _keep_known_end(self, job: str) -> dict[str, Any] | None:
+        end = self._integrity.end_of(job)
+        return None if end is None else self._keep_final(job, records.final_record(end.phase, end.tasks))
+
+    def _look_into(self, conflict: ConflictError) -> None:
+        """A transaction that failed on the store's identity was one on a store that is not the known one."""
+        if records.IDENTITY in conflict.failed:
+            self._integrity.suspect()
+            raise RetryLaterError("the state service is being verified", 1.0)
 
     def _keep_final(self, job: str, value: dict[str, Any]) -> dict[str, Any]:
         answer = state_answer(job, value["phase"], value["n"], 0)
@@ -197,20 +230,21 @@
 
     async def cancel(self, job: str) -> dict[str, Any] | None:
         """The final state after the cancellation, or None for a job that was never accepted."""
-        known = self._final.get(job)
+        known = self._final.get(job) or self._keep_known_end(job)
         if known is not None:
             return known
+        self._require_sound_store()
         self._spend(self._writes, CANCEL_CHANGES)
         try:
             # The leader may rewrite the record between the read and the commit.
             for _ in range(CANCEL_TRIES):
-                found = await self._state.get(records.active_key(job))
+                found = await self._state.lookup(records.active_key(job))
                 if found is None:
                     return await self._ended(job)
                 try:
                     return await self._cancel_record(job, found[0], found[1])
-                except ConflictError:
-                    continue
+                except ConflictError as conflict:
+                    self._look_into(conflict)
         except (UnavailableError, UnknownOutcomeError) as error:
             raise self._failed(error, self._writes, CANCEL_CHANGES) from None
         raise RetryLaterError("the job's record keeps changing")
@@ -225,7 +259,9 @@
             # What may still run somewhere stays known until it is gone: it takes room, and has to be stopped.
             puts[records.chunk_key(job, 0)] = separate_chunk(job_from_wire(value["s"]), inline, value["n"])
             self._writes.spend(1.0)
-        await self._state.commit({active: version, final: 0}, puts, [active])
+        guards = {active: version, final: 0, **self._integrity.guards()}
+        revision = await self._state.commit(guards, puts, [active])
+        self._integrity.committed(puts, [active], revision)
         log.info("job %s cancelled", job)
         return self._keep_final(job, ended)
 
--- a/stileloft/coordination/dispatch.py
+++ b/stileloft/coordination/dispatch.py
@@ -111,7 +111,7 @@
                     self._take_state(machine, placement, task, now)
             elif task.state == EXITED:
                 self.forget_later(machine, task.task, task.attempt, task.why == "done")
-            else:
+            elif key[0] not in self.term.unknown_jobs:
                 strays[task.task] = self._stray(key[0], task)
         self._take_strays(machine, strays)
         for placement in unseen.values():
@@ -350,7 +350,8 @@
         if executed:
             machine.reached_at = term.clock.seconds()
         if report.token > term.token:
-            term.depose(f"{machine.id} knows token {report.token}")
+            term.node.integrity.saw_token(report.token)
+            term.node.election.doubt(f"{machine.id} knows token {report.token}")
             return
         with term.lock:
             self.observe(report)
--- a/stileloft/coordination/election.py
+++ b/stileloft/coordination/election.py
@@ -8,11 +8,13 @@
 from twisted.internet import defer
 
 from stileloft.bookkeeping import records
+from stileloft.coordination.integrity import StoreIntegrity
 from stileloft.protocol.state import (
     CompactedError,
     ConflictError,
     LeaseExpiredError,
     StateClient,
+    StoreLostError,
     UnavailableError,
     UnknownOutcomeError,
 )
@@ -36,6 +38,7 @@
         life_s: float,
         on_elected: Callable[[int], None],
         on_deposed: Callable[[str], None],
+        integrity: StoreIntegrity,
     ) -> None:
         self._clock = clock
         self._state = state
@@ -44,6 +47,11 @@
         self.life_s = life_s
         self._on_elected = on_elected
         self._on_deposed = on_deposed
+        self._integrity = integrity
+        self._doubt: str | None = None
+        """Why the leadership is in doubt, while it is found out whether it is over or the store is lost."""
+        self.key_version = 0
+        """The version of the leader key while we lead: it guards our transactions."""
         self.token: int | None = None
         self.leader: str | None = None
         """The member that leads, as far as is known."""
@@ -68,10 +76,21 @@
         """Leaves the leadership to others for a while, as long as there are any."""
         self._abstain_until = self._clock.seconds() + seconds
 
+    def doubt(self, reason: str) -> None:
+        """The leadership seems to be over: nothing is decided any more until it is known why.
+
+        If the store has lost its records, nobody else can lead either, and we go on to answer reports for our grace.
+        """
+        if not self._integrity.can_be_lost:
+            self.step_down(reason)
+        elif self.token is not None:
+            self._confirmed_until = 0.0
+            self._doubt = self._doubt or reason
+
     def step_down(self, reason: str) -> None:
         if self.token is None:
             return
-        self.token = None
+        self.token = self._doubt = None
         lease, self._lease = self._lease, None
         log.info("stepping down: %s", reason)
         self._on_deposed(reason)
@@ -88,6 +107,8 @@
             try:
                 if self.token is None:
                     await self._seek()
+                elif self._doubt is not None:
+                    await self._settle_doubt(self._doubt)
                 else:
                     await self._keep()
             except (UnavailableError, UnknownOutcomeError, CompactedError) as error:
@@ -97,6 +118,17 @@
                 log.exception("election")
                 await self._sleep(self.life_s / 4)
 
+    async def _settle_doubt(self, reason: str) -> None:
+        try:
+            await self._integrity.verify()
+        except StoreLostError:
+            # Whoever gets the leader key next writes the records back; until then our term goes on, unconfirmed. Its
+            # lease is lost with the rest, and another may have the same number by now.
+            self._lease = None
+            await self._seek()
+            return
+        self.step_down(reason)
+
     def _sleep(self, seconds: float) -> defer.Deferred[None]:
         done: defer.Deferred[None] = defer.Deferred()
         self._clock.callLater(seconds, done.callback, None)
@@ -111,8 +143,9 @@
         if found is not None:
             await self._follow(*found)
             return
-        self.leader = None
-        if self._clock.seconds() < self._abstain_until:
+        if self._integrity.is_sound():
+            self.leader = None
+        if self._clock.seconds() < self._abstain_until or not self._integrity.may_stand():
             await self._sleep(self.life_s / 8)
             return
         await self._stand()
@@ -120,6 +153,8 @@
     async def _follow(self, value: dict[str, Any], version: int, lease: int | None) -> None:
         """Waits for the end of another's leadership, or ends what is left of one of our own."""
         self.leader = value["member"]
+        if self._doubt is not None and value["member"] != self._member:
+            self.step_down("another controller leads")
         if value["member"] != self._member or lease is None:
             await self._state.watch(records.LEADER, version, self.life_s * 4)
             return
@@ -133,16 +168,23 @@
         """Takes the leader key, unless another does so first."""
         sent = self._clock.seconds()
         lease = await self._state.new_lease(self.life_s)
+        guards = {records.LEADER: 0} | self._integrity.guards()
         try:
-            token = await self._state.commit(
-                {records.LEADER: 0}, {records.LEADER: {"member": self._member, "nonce": self._nonce}}, [], lease
+            version = await self._state.commit(
+                guards, {records.LEADER: {"member": self._member, "nonce": self._nonce}}, [], lease
             )
-        except ConflictError:
+            token = await self._integrity.take_leadership(version)
+        except ConflictError as conflict:
+            if records.LEADER not in conflict.failed:
+                self._integrity.suspect()
             await self._end(lease)
             return
         except LeaseExpiredError:
             return
+        if self.token is not None:
+            self.step_down("a new term begins")
         self._lease = lease
+        self.key_version = version
         self._confirm(sent)
         if not self._clock.seconds() < self._confirmed_until:
             await self._end(lease)
@@ -159,7 +201,7 @@
         try:
             await self._state.renew(self._lease, self.life_s / 3)
         except LeaseExpiredError:
-            self.step_down("the lease has ended")
+            self.doubt("the lease has ended")
             return
         if self.token is not None:
             self._confirm(sent)
--- a/stileloft/coordination/fleet.py
+++ b/stileloft/coordination/fleet.py
@@ -422,7 +422,7 @@
         slot = next(n for n in range(len(self.rented_slots) + 1) if self.rented_slots.get(n, 0.0) < now)
         self.rented_slots[slot] = now + self.listed_s
         try:
-            await term.state.commit({records.LEADER: term.token}, {records.rented_key(slot): whole}, [])
+            await term.state.commit(term.leader_guard(), {records.rented_key(slot): whole}, [])
         except TooLargeError:
             term.limits.refused([whole], 1)
             await self._store_rental(offer, machines)
@@ -471,7 +471,7 @@
                 continue
             puts = {records.IMAGES + m.id: self._recorded_images(m) for m in changed}
             try:
-                await term.state.commit({records.LEADER: term.token}, puts, [records.IMAGES + m for m in dropped])
+                await term.state.commit(term.leader_guard(), puts, [records.IMAGES + m for m in dropped])
             except TooLargeError:
                 term.limits.refused(puts.values(), count)
                 continue
--- a/stileloft/coordination/format_upgrade.py
+++ b/stileloft/coordination/format_upgrade.py
@@ -49,7 +49,7 @@
         node = term.node
         members = sorted({node.settings.member, *self._others()})
         # An earlier change of format has left a record, which is written over in the version that we know.
-        guards = {records.LEADER: term.token, records.FORMAT: node.format_version}
+        guards = {**term.leader_guard(), records.FORMAT: node.format_version}
         value = {"format": records.NEWEST_FORMAT, "members": members}
         try:
             version = await term.state.commit(guards, {records.FORMAT: value}, [])
--- /dev/null
+++ b/stileloft/coordination/integrity.py
@@ -0,0 +1,72 @@
+"""Whether the state service still holds what it was given: what other modules ask, and the answer if nobody looks.
+
+The feature `rebuild` puts `stileloft.rebuild.protection` in place of what is here.
+"""
+
+from collections.abc import Iterable, Mapping
+from typing import Any, NamedTuple
+
+
+class KnownEnd(NamedTuple):
+    """How a job ended, as far as it is known here."""
+
+    phase: str
+    tasks: int
+
+
+class StoreIntegrity:
+    """The store is trusted: it never loses anything, and needs no identity."""
+
+    can_be_lost = False
+    """Whether a loss would be noticed at all."""
+
+    def is_sound(self) -> bool:
+        """Whether the store may be believed, and written."""
+        return True
+
+    def may_stand(self) -> bool:
+        """Whether this controller may seek the leadership."""
+        return True
+
+    def is_rebuilding(self) -> bool:
+        """Whether a new leader has to write lost records back before anything else."""
+        return False
+
+    def guards(self) -> dict[str, int]:
+        """Conditions under which a transaction is one of the store as it is known."""
+        return {}
+
+    async def verify(self) -> None:
+        """Asks whether the store is still the one that is known; raises `StoreLostError` if not."""
+
+    async def verify_absence(self) -> None:
+        """The same, before a user is told that something does not exist; raises it also while that is not known yet."""
+
+    def knows_ends(self) -> bool:
+        """Whether jobs that ended are known, wherever that is recorded."""
+        return True
+
+    def suspect(self) -> None:
+        """Has the store verified soon: something was not as it should be."""
+
+    async def take_leadership(self, version: int) -> int:
+        """The token of a leader whose key has this version."""
+        return version
+
+    def saw_token(self, token: int) -> None:
+        """A worker knows this token."""
+
+    def committed(self, puts: Mapping[str, Any], deletes: Iterable[str], revision: int) -> None:
+        """This controller has changed the store."""
+
+    def end_of(self, _job: str) -> KnownEnd | None:
+        """How a job ended of which the store has no record of its own."""
+        return None
+
+    def is_unknown_job(self, _job: str) -> bool:
+        """Whether a job is known by workers' reports alone."""
+        return False
+
+    def status(self) -> dict[str, Any]:
+        """What the administration API shows; nothing if nobody looks."""
+        return {}
--- a/stileloft/coordination/job_watch.py
+++ b/stileloft/coordination/job_watch.py
@@ -32,6 +32,8 @@
         self.watch_s = term.node.election.life_s * WATCH_LIVES
         self.informed_at = float("-inf")
         """Until then we know of all cancellations: when we sent the newest question that the store answered."""
+        self._too_old = False
+        """The store does not know any more what has changed since `revision`: all jobs have to be read again."""
         self._removed: dict[str, float] = {}
         """Jobs removed from the picture, and when: the watch may not have come as far as that."""
 
@@ -51,19 +53,12 @@
     async def run(self) -> None:
         while self._term.alive:
             try:
-                asked_at = self._term.clock.seconds()
-                revision, events = await self._term.state.watch(records.ACTIVE, self.revision, self.watch_s)
-                if not self._term.alive:
-                    return
-                for key, value, version in events:
-                    self.on_change(key[len(records.ACTIVE) :], value, version)
-                self.revision, self.informed_at = revision, asked_at
-                self._forget_removed()
-                if events:
-                    # Under a burst each change would else be an answer and a request of its own.
-                    await self._term.sleep(self.watch_s * GATHER_WATCH)
+                if self._too_old:
+                    await self._resync()
+                else:
+                    await self._watch_once()
             except CompactedError:
-                await self._resync()
+                self._too_old = True
             except (UnavailableError, UnknownOutcomeError) as error:
                 log.debug("watch: %s", error)
                 await self._term.sleep(0.2)
@@ -71,17 +66,46 @@
                 log.exception("watch")
                 await self._term.sleep(0.5)
 
+    async def _watch_once(self) -> None:
+        """Waits for changes, and takes them in."""
+        asked_at = self._term.clock.seconds()
+        revision, events = await self._term.state.watch(records.ACTIVE, self.revision, self.watch_s)
+        if not self._term.alive:
+            return
+        if any(value is None and self._is_unexplained(key) for key, value, _ in events):
+            # Its user cancelled it, or the store has lost it: then its tasks must not be stopped.
+            await self._term.node.integrity.verify()
+        for key, value, version in events:
+            self.on_change(key[len(records.ACTIVE) :], value, version)
+        self.revision, self.informed_at = revision, asked_at
+        self._forget_removed()
+        if events:
+            # Under a burst each change would else be an answer and a request of its own.
+            await self._term.sleep(self.watch_s * GATHER_WATCH)
+
     async def _resync(self) -> None:
+        """Reads all jobs, as changes since the last look are no longer known."""
         asked_at = self._term.clock.seconds()
         active, revision = await self._term.state.scan(records.ACTIVE)
-        listed = set()
+        listed = {key for key, _, _ in active}
+        missing = [
+            job
+            for job in list(self._cluster.jobs.values())
+            if records.active_key(job.id) not in listed and job.version <= revision
+        ]
+        if missing:
+            await self._term.node.integrity.verify()
         for key, value, version in active:
-            listed.add(key[len(records.ACTIVE) :])
             self.on_change(key[len(records.ACTIVE) :], value, version)
-        for job in list(self._cluster.jobs.values()):
-            if job.id not in listed and job.version <= revision:
-                self.on_change(job.id, None, revision)
+        for job in missing:
+            self.on_change(job.id, None, revision)
         self.revision, self.informed_at = revision, asked_at
+        self._too_old = False
+
+    def _is_unexplained(self, key: str) -> bool:
+        """Whether a record that is gone belongs to a job that goes on as far as we know."""
+        job = self._cluster.jobs.get(key[len(records.ACTIVE) :])
+        return job is not None and job.over is None and not job.busy
 
     def on_change(self, job_id: str, value: Any, version: int) -> None:
         """A job's record was written by somebody, perhaps by us."""
--- a/stileloft/coordination/leader.py
+++ b/stileloft/coordination/leader.py
@@ -22,6 +22,7 @@
 from stileloft.coordination.workload import Workload
 from stileloft.protocol.messages import JobSpec, MachineType, Report, orders
 from stileloft.protocol.state import UnavailableError, UnknownOutcomeError
+from stileloft.rebuild import decisions
 
 if TYPE_CHECKING:
     from stileloft.coordination import node as nodes
@@ -39,9 +40,10 @@
 class Term:
     """All that one leadership knows; nothing outlives it."""
 
-    def __init__(self, node: "nodes.Node", token: int) -> None:
+    def __init__(self, node: "nodes.Node", token: int, key_version: int) -> None:
         self.node = node
         self.token = token
+        self._key_version = key_version
         self.nonce = node.nonce
         self.clock = node.reactor
         self.wall = node.wall
@@ -60,6 +62,8 @@
         self.cluster = Cluster()
         self.jobs = self.cluster.jobs
         self.machines = self.cluster.machines
+        self.unknown_jobs: frozenset[str] = frozenset()
+        """Jobs of which only workers' reports tell: what runs of them goes on until an operator decides."""
         self.limits = Limits(self.settings.state)
         self.workload = Workload(self.settings.objectives, self.wall, lambda: self.types)
         self.ledger = Ledger(self)
@@ -91,6 +95,10 @@
         """Whether the leader's lease is known to be held at this moment."""
         return self.alive and self.node.election.confirmed()
 
+    def leader_guard(self) -> dict[str, int]:
+        """The condition of our transactions that no other leader has been elected since."""
+        return {records.LEADER: self._key_version}
+
     def may_renew(self) -> bool:
         """Whether an answer of ours may renew a worker's lease: the bound that `blind_grace` derives.
 
@@ -134,6 +142,8 @@
         defer.ensureDeferred(self.watch.run())
         defer.ensureDeferred(self.fleet.images_loop())
         defer.ensureDeferred(self.upgrade.run())
+        if self.node.integrity.can_be_lost:
+            defer.ensureDeferred(decisions.carry_out(self))
         self._check()
         self.request_round()
 
--- a/stileloft/coordination/ledger.py
+++ b/stileloft/coordination/ledger.py
@@ -207,7 +207,7 @@
 
     async def _commit(self, batch: list[Entry]) -> None:
         term = self.term
-        guards = {records.LEADER: term.token}
+        guards = term.leader_guard()
         puts: dict[str, Any] = {}
         deletes: list[str] = []
         for entry in batch:
@@ -218,6 +218,8 @@
         try:
             if puts or deletes:
                 revision = await term.state.commit(guards, puts, deletes)
+            else:
+                await term.sleep(0.0)  # whoever began this holds the lock, which is taken anew below
         except ConflictError as conflict:
             self._conflicted(batch, conflict)
         except TooLargeError as error:
@@ -233,13 +235,14 @@
                 entry.job.late_copy = True
                 self.start_reload(entry.job)
         else:
+            term.node.integrity.committed(puts, deletes, revision)
             self._executed(batch, revision)
 
     def _conflicted(self, batch: list[Entry], conflict: ConflictError) -> None:
         """A guard failed: the jobs whose records have changed are read again."""
         self.in_flight -= 1
         if records.LEADER in conflict.failed:
-            self.term.depose("the leader key has another version")
+            self.term.node.election.doubt("the leader key has another version")
             return
         log.debug("conflict on %s", conflict)
         for entry in batch:
@@ -356,7 +359,7 @@
                 break
             except ConflictError as conflict:
                 if records.LEADER in conflict.failed:
-                    term.depose("the leader key has another version")
+                    term.node.election.doubt("the leader key has another version")
                     return
                 await term.sleep(REFUSED_S / 3)  # it was cancelled, or what got no answer is executed by now
             except (UnavailableError, UnknownOutcomeError) as error:
@@ -387,7 +390,7 @@
             while not term.writes.take(1.0):
                 await term.sleep(REFUSED_S)
             value, version = record
-            record = value, await term.state.commit({records.LEADER: term.token, key: version}, {key: value}, [])
+            record = value, await term.state.commit({**term.leader_guard(), key: version}, {key: value}, [])
         chunks, _ = await term.state.scan(f"{records.TASKS}{job.id}/")
         return record, phase, chunks
 
--- a/stileloft/coordination/node.py
+++ b/stileloft/coordination/node.py
@@ -5,7 +5,7 @@
 import secrets
 import time
 from collections.abc import Callable
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 import msgspec
 import orjson
@@ -15,16 +15,12 @@
 from stileloft.coordination.admission import Admission, InfeasibleJobError, RetryLaterError
 from stileloft.coordination.election import DRIFT, Election
 from stileloft.coordination.fleet import MARGIN_LEASES
+from stileloft.coordination.integrity import StoreIntegrity
 from stileloft.coordination.leader import Term
+from stileloft.features import Features
 from stileloft.protocol import messages
-from stileloft.protocol.admin import (
-    AdminResources,
-    InvalidSettingsError,
-    OperatorSettings,
-    StaleVersionError,
-    TemporarilyUnavailableError,
-    parse_operator_settings,
-)
+from stileloft.protocol.admin import AdminResources, OperatorSettings, parse_operator_settings
+from stileloft.protocol.admin_errors import InvalidSettingsError, StaleVersionError, TemporarilyUnavailableError
 from stileloft.protocol.cloud import CloudClient, CloudError
 from stileloft.protocol.messages import MachineType, Report
 from stileloft.protocol.peers import PeerClient, PeerView
@@ -38,11 +34,15 @@
 )
 from stileloft.protocol.users import REPORT_PATH, PublicResources
 from stileloft.protocol.workers import WorkerClient
+from stileloft.rebuild import decisions
 from stileloft.settings import Settings, Workers, split_address
 from stileloft.transport.client import Client
 from stileloft.transport.server import Answer, Router, make_site, retry_later
 from stileloft.transport.sockets import KEEP_COMMANDS, Sockets
 
+if TYPE_CHECKING:
+    from stileloft.rebuild.service import Rebuild
+
 log = logging.getLogger(__name__)
 
 # A worker drops answers after 4 s, so waiting longer for one of its own has no use.
@@ -89,7 +89,9 @@
         settings: Settings,
         wall: Callable[[], float] = time.time,
         connect: Callable[..., Any] = Client,
+        features: Features | None = None,
     ) -> None:
+        self.features = features or Features()
         self.reactor = reactor
         self.settings = settings
         self.wall = wall
@@ -136,15 +138,29 @@
         """Tasks per chunk of the jobs whose records don't say."""
         self.chunk_size = records.sized_chunk_size(least.value_bytes)
         """The same of new jobs, once their records may say so."""
-        self.admission = Admission(reactor, self.state, self.teams, self, reads, writes, wall, least.value_bytes)
+        self.rebuild = self._rebuild_feature()
+        self.integrity = self.rebuild.protection if self.rebuild else StoreIntegrity()
+        self.admission = Admission(
+            reactor, self.state, self.teams, self, reads, writes, wall, least.value_bytes, self.integrity
+        )
         self.nonce = secrets.token_hex(8)
         life_s = deployment.workers.lease_s * LEADER_LEASE
         self.grace_s = blind_grace(deployment.workers, life_s)
-        self.election = Election(reactor, self.state, settings.member, self.nonce, life_s, self._elected, self._deposed)
+        self.election = Election(
+            reactor, self.state, settings.member, self.nonce, life_s, self._elected, self._deposed, self.integrity
+        )
         self.term: Term | None = None
         self.operator_settings = OperatorSettings()
         self._referred: dict[str, tuple[float, tuple[int, int]]] = {}
 
+    def _rebuild_feature(self) -> "Rebuild | None":
+        if not self.features.rebuild.enabled:
+            return None
+        # Imported here, as its library takes memory that nodes without the feature have no use for.
+        from stileloft.rebuild.service import Rebuild
+
+        return Rebuild(self)
+
     # -- life ---------------------------------------------------------------
 
     def start(self) -> None:
@@ -157,6 +173,8 @@
         defer.ensureDeferred(self._format_loop())
         defer.ensureDeferred(self._served_loop())
         defer.ensureDeferred(self.election.run())
+        if self.rebuild is not None:
+            self.rebuild.run()
 
     def serve(self) -> None:
         public = PublicResources(self.admission, self.report, self.healthy, RetryLaterError, InfeasibleJobError)
@@ -199,7 +217,9 @@
         """The operators' settings, as they change."""
         while True:
             try:
-                self.operator_settings, version = await self.read_settings()
+                settings, version = await self.read_settings()
+                if self.integrity.is_sound():
+                    self.operator_settings = settings
                 await self.state.watch(records.SETTINGS, version or 1, SETTINGS_WATCH_S)
             except (TemporarilyUnavailableError, UnavailableError, UnknownOutcomeError, CompactedError):
                 await self.sleep(SETTINGS_WATCH_S / 10)
@@ -295,19 +315,35 @@
     # -- leadership -----------------------------------------------------------
 
     def _elected(self, token: int) -> None:
-        self.term = Term(self, token)
+        if self.rebuild is not None and self.integrity.is_rebuilding():
+            self.rebuild.begin(token)
+        else:
+            self.begin_term(token)
+
+    def begin_term(self, token: int) -> None:
+        """Leads, in a store whose records are all there."""
+        self.term = Term(self, token, self.election.key_version)
         self.term.begin()
 
+    def forget_versions(self) -> None:
+        """The store was rebuilt: its records have other versions now."""
+        self.format_version = 0
+
     def _deposed(self, _reason: str) -> None:
+        if self.rebuild is not None:
+            self.rebuild.stop()
         if self.term is not None:
             self.term.finish()
             self.term = None
 
     def report(self, report: Report) -> Answer:
         """A worker's report: answered by the leader, referred to it by the others."""
+        self.integrity.saw_token(report.token)
+        if self.rebuild is not None and self.rebuild.rebuilder is not None:
+            return self.rebuild.rebuilder.on_report(report)
         term = self.term
         if term is not None and report.token > term.token:
-            self.election.step_down(f"{report.machine} knows token {report.token}")
+            self.election.doubt(f"{report.machine} knows token {report.token}")
             term = None
         if term is None:
             self._refer(report)
@@ -348,10 +384,25 @@
             "settings": msgspec.to_builtins(self.operator_settings),
             "budgets": {"leader_writes": round(self.leader_writes.level(), 1)},
         }
+        if self.rebuild is not None:
+            answer["features"] = {"rebuild": msgspec.to_builtins(self.features.rebuild)}
+            answer["rebuild"] = self.rebuild.status()
         if self.term is not None:
             answer["term"] = self.term.status()
         return answer
 
+    def rebuild_status(self) -> dict[str, Any] | None:
+        """What is known of the store and of a rebuild; None without the feature."""
+        return None if self.rebuild is None else self.rebuild.status()
+
+    def snapshot_piece(self, number: int) -> bytes | None:
+        """A piece of this node's replica of the store, for a peer that rebuilds it."""
+        return None if self.rebuild is None else self.rebuild.protection.piece(number)
+
+    async def decide(self, job: str, task: int | None, decision: str) -> dict[str, Any] | None:
+        """Takes an operator's word on undecided tasks; None if the job has none."""
+        return None if self.rebuild is None else await decisions.decide(self, job, task, decision)
+
     def view(self) -> PeerView:
         """What this node sees, for a peer that doubts its own view."""
         now = self.reactor.seconds()
@@ -361,6 +412,9 @@
             {machine: newest for machine, (at, newest) in self._referred.items() if at > recent},
             self.settings.member,
             records.NEWEST_FORMAT,
+            protects=self.rebuild is not None,
+            deployment=self.rebuild.protection.deployment if self.rebuild else "",
+            highest_token=self.rebuild.protection.highest_token if self.rebuild else 0,
         )
 
     async def read_settings(self) -> tuple[OperatorSettings, int]:
@@ -379,10 +433,13 @@
             return OperatorSettings(), found[1]
 
     async def change_settings(self, settings: OperatorSettings, version: int) -> int:
+        if not self.integrity.is_sound():
+            raise TemporarilyUnavailableError("lost records are being rebuilt")
+        guards = {records.SETTINGS: version, **self.integrity.guards()}
+        puts = {records.SETTINGS: msgspec.to_builtins(settings)}
         try:
-            changed = await self.state.commit(
-                {records.SETTINGS: version}, {records.SETTINGS: msgspec.to_builtins(settings)}, []
-            )
+            changed = await self.state.commit(guards, puts, [])
+            self.integrity.committed(puts, [], changed)
         except ConflictError:
             raise StaleVersionError from None
         except (UnavailableError, UnknownOutcomeError) as error:
--- a/stileloft/coordination/recovery.py
+++ b/stileloft/coordination/recovery.py
@@ -5,6 +5,7 @@
 from stileloft.bookkeeping import records
 from stileloft.bookkeeping.model import Job, job_from_record, orphan_spec
 from stileloft.protocol.state import Item
+from stileloft.rebuild import decisions
 
 if TYPE_CHECKING:
     from stileloft.coordination.leader import Term
@@ -21,12 +22,14 @@
     chunks, _ = await term.state.scan(records.TASKS)
     rented, _ = await term.state.scan(records.RENTED)
     images, _ = await term.state.scan(records.IMAGES)
+    undecided = await decisions.read(term)
     # A chunk that was read after its job's record may be newer: its version guards it.
     with term.lock:
         term.jobs.clear()
         _load_jobs(term, active, chunks)
         for job in term.jobs.values():
             _resume(term, job)
+        decisions.hold(term, undecided)
         for key, value, _ in rented:
             term.fleet.load_rental(key, value)
         for key, value, _ in images:
--- a/stileloft/protocol/admin.py
+++ b/stileloft/protocol/admin.py
@@ -7,7 +7,9 @@
 import msgspec
 from msgspec import Meta, Struct
 
+from stileloft.protocol.admin_errors import InvalidSettingsError, StaleVersionError, TemporarilyUnavailableError
 from stileloft.protocol.peers import PeerView
+from stileloft.protocol.rebuild_admin import RebuildAdministered, RebuildResources
 from stileloft.transport.server import Answer, Handler, retry_later
 
 Factor = Annotated[float, Meta(ge=0, le=100)]
@@ -28,18 +30,6 @@
     """No rental makes the fleet larger than this."""
 
 
-class InvalidSettingsError(Exception):
-    """Settings that cannot be taken; the text names the field."""
-
-
-class StaleVersionError(Exception):
-    """The settings have been changed since the version that the change was made from."""
-
-
-class TemporarilyUnavailableError(Exception):
-    """The store cannot be asked or written now."""
-
-
 def parse_operator_settings(value: Any) -> OperatorSettings:
     try:
         settings = msgspec.convert(value, OperatorSettings)
@@ -51,7 +41,7 @@
     return settings
 
 
-class Administered(Protocol):
+class Administered(RebuildAdministered, Protocol):
     """What a node tells its operators, and takes from them."""
 
     def status(self) -> dict[str, Any]: ...
@@ -63,6 +53,7 @@
 class AdminResources:
     def __init__(self, node: Administered) -> None:
         self._node = node
+        self._rebuild = RebuildResources(node)
 
     def match(self, path: str) -> tuple[dict[str, Handler], dict[str, str]] | None:
         if path == "/status":
@@ -71,7 +62,7 @@
             return {"GET": self.view}, {}
         if path == "/settings":
             return {"GET": self.show, "PUT": self.change}, {}
-        return None
+        return self._rebuild.match(path)
 
     def status(self, _body: Any, _arguments: dict[str, str]) -> Answer | Awaitable[Answer]:
         return Answer(200, self._node.status())
--- a/stileloft/protocol/peers.py
+++ b/stileloft/protocol/peers.py
@@ -8,8 +8,12 @@
 
 from stileloft.transport.client import Client, ConnectionFailedError, NoResponseError
 
+SNAPSHOT_PATH = "/rebuild/snapshot/"
+# A piece of a replica may take longer to make and to send than a view does.
+SNAPSHOT_TIMEOUTS = 5.0
 
-class PeerView(Struct):
+
+class PeerView(Struct, omit_defaults=True):
     """What a controller sees of the world, for those that doubt their own view."""
 
     served_ago_s: float
@@ -19,6 +23,12 @@
     member: str = ""
     reads: int = 0
     """The newest format of the store's records that it reads; the version before gangs does not say."""
+    protects: bool = False
+    """It protects the store's records against their loss."""
+    deployment: str = ""
+    """The identity that it knows of the store."""
+    highest_token: int = 0
+    """The highest token that it has seen."""
 
 
 class PeerClient:
@@ -32,6 +42,18 @@
         asked = [defer.ensureDeferred(self._view(address)) for address in self._addresses]
         return [view for view in [await one for one in asked] if view is not None]
 
+    async def snapshot_piece(self, address: str, number: int) -> bytes | None:
+        """A piece of a controller's replica of the store; None if there is no answer."""
+        try:
+            reply: Any = await self._client.request(
+                "GET", address, f"{SNAPSHOT_PATH}{number}", None, SNAPSHOT_TIMEOUTS * self._timeout_s
+            )
+        except (ConnectionFailedError, NoResponseError):
+            return None
+        if reply.status != 200 or not isinstance(reply.body, dict) or not isinstance(reply.body.get("piece"), str):
+            return None
+        return bytes(reply.body["piece"], "utf-8")
+
     async def _view(self, address: str) -> PeerView | None:
         try:
             reply: Any = await self._client.request("GET", address, "/view", None, self._timeout_s)
--- /dev/null
+++ b/stileloft/protocol/rebuild_admin.py
@@ -0,0 +1,91 @@
+"""The administration API of the feature `rebuild`: its status, replicas for other controllers, and decisions."""
+
+import re
+from typing import Any, Protocol
+
+from msgspec import Struct
+
+from stileloft.protocol.admin_errors import InvalidSettingsError, StaleVersionError, TemporarilyUnavailableError
+from stileloft.protocol.messages import JOB_ID
+from stileloft.protocol.peers import SNAPSHOT_PATH
+from stileloft.transport.server import Answer, Handler, retry_later
+
+STATUS_PATH = "/rebuild"
+UNDECIDED_PATH = "/rebuild/undecided/"
+JOB = re.compile(JOB_ID)
+MOST_NUMBER_DIGITS = 9
+FEATURE_OFF = Answer(404, {"error": "the feature rebuild is not enabled"})
+NO_SUCH_PIECE = Answer(404, {"error": "no such piece"})
+NOTHING_UNDECIDED = Answer(404, {"error": "the job has no undecided tasks"})
+
+
+class RebuildAdministered(Protocol):
+    """What a node tells of the feature, and takes from operators."""
+
+    def snapshot_piece(self, number: int) -> bytes | None: ...
+    def rebuild_status(self) -> dict[str, Any] | None: ...
+    async def decide(self, job: str, task: int | None, decision: str) -> dict[str, Any] | None: ...
+
+
+class MalformedDecisionError(Exception):
+    """A decision that does not have the form of one."""
+
+
+class DecisionRequest(Struct, frozen=True):
+    """An operator's word on one task of a job, or on all of them."""
+
+    decision: str
+    task: int | None
+
+
+def parse_decision(body: Any) -> DecisionRequest:
+    """A checked request."""
+    if not isinstance(body, dict) or not isinstance(body.get("decision"), str):
+        raise MalformedDecisionError("decision: one of run, done and forget is required")
+    task = body.get("task")
+    if task is not None and (type(task) is not int or task < 0):
+        raise MalformedDecisionError("task: a task's number, or null for all of the job's, is required")
+    return DecisionRequest(body["decision"], task)
+
+
+class RebuildResources:
+    """Routes of the feature."""
+
+    def __init__(self, node: RebuildAdministered) -> None:
+        self._node = node
+
+    def match(self, path: str) -> tuple[dict[str, Handler], dict[str, str]] | None:
+        if path == STATUS_PATH:
+            return {"GET": self.status}, {}
+        if path.startswith(SNAPSHOT_PATH):
+            return {"GET": self.piece}, {"number": path[len(SNAPSHOT_PATH) :]}
+        if path.startswith(UNDECIDED_PATH):
+            return {"PUT": self.decide}, {"job": path[len(UNDECIDED_PATH) :]}
+        return None
+
+    def status(self, _body: Any, _arguments: dict[str, str]) -> Answer:
+        """What is known of the store, and of a rebuild."""
+        status = self._node.rebuild_status()
+        return FEATURE_OFF if status is None else Answer(200, status)
+
+    def piece(self, _body: Any, arguments: dict[str, str]) -> Answer:
+        """A piece of this controller's replica of the store, for another one that rebuilds it."""
+        number = arguments["number"]
+        if not number.isdecimal() or len(number) > MOST_NUMBER_DIGITS:
+            return NO_SUCH_PIECE
+        piece = self._node.snapshot_piece(int(number))
+        return NO_SUCH_PIECE if piece is None else Answer(200, {"piece": piece.decode()})
+
+    async def decide(self, body: Any, arguments: dict[str, str]) -> Answer:
+        """Takes an operator's word on tasks of which a rebuild could not tell whether they completed."""
+        job = arguments["job"]
+        try:
+            request = parse_decision(body)
+            decided = await self._node.decide(job, request.task, request.decision) if JOB.match(job) else None
+        except (MalformedDecisionError, InvalidSettingsError) as error:
+            return Answer(400, {"error": str(error)})
+        except StaleVersionError:
+            return Answer(409, {"error": "the job's record has been changed since; try again"})
+        except TemporarilyUnavailableError as error:
+            return retry_later(503, str(error), 1)
+        return NOTHING_UNDECIDED if decided is None else Answer(200, decided)
--- a/stileloft/protocol/state.py
+++ b/stileloft/protocol/state.py
@@ -1,5 +1,6 @@
 """The client of the state service: what was executed, what was not, and what is unknown."""
 
+from collections.abc import Callable
 from typing import Any
 
 from stileloft.transport.client import Client, ConnectionFailedError, NoResponseError
@@ -44,6 +45,10 @@
     """A value or a transaction is beyond the service's limits: it will never be executed as it is."""
 
 
+class StoreLostError(UnavailableError):
+    """The store is not the one that is known: it has lost records, and what it says can't be believed."""
+
+
 class CompactedError(Exception):
     """The watch's revision is too old; the keys have to be read again."""
 
@@ -96,8 +101,15 @@
         """When the service last executed a request of ours."""
         self.revision = 0
         """Of the store, when a key was last found to be missing."""
+        self.highest_revision = 0
+        """The highest that was seen, while a store that goes back is looked out for."""
+        self._era = 0
+        """How often revisions were forgotten."""
+        self.on_regress: Callable[[int, int], None] | None = None
+        """Called when the store answers with a lower revision than it had when it was asked: both are given."""
 
     async def _ask(self, method: str, path: str, body: Any = None, timeout_s: float | None = None) -> Any:
+        known, era = self.highest_revision, self._era
         try:
             reply = await self._client.request(method, self._address, path, body, timeout_s or self._timeout_s)
         except ConnectionFailedError as error:
@@ -109,8 +121,43 @@
         if reply.status == 503:
             raise UnavailableError(f"status {reply.status}")
         self.served_at = self._clock.seconds()
+        if self.on_regress is not None and isinstance(reply.body, dict) and "epoch" in reply.body:
+            if era != self._era:
+                raise StoreLostError("it was asked before the store was found to be lost")
+            self._check_revision(known, reply.body["epoch"])
         return reply
 
+    def forget_revisions(self) -> None:
+        """The store begins again where it is now: what is still under way was asked of another one."""
+        self.highest_revision = 0
+        self._era += 1
+
+    def _check_revision(self, known: int, revision: int) -> None:
+        """A store that is consistent never answers with a revision from before one that was known when it was asked."""
+        if revision < known:
+            if self.on_regress is not None:
+                self.on_regress(known, revision)
+            raise StoreLostError(f"the store has gone back from revision {known} to {revision}")
+        self.highest_revision = max(self.highest_revision, revision)
+
+    async def lookup(self, key: str) -> tuple[Any, int] | None:
+        """Value and version of a key; with the store's revision checked, if that is looked out for.
+
+        The answer about a single key does not tell the revision, that about a range of keys does.
+        """
+        if self.on_regress is None:
+            found = await self.get(key)
+            return None if found is None else found[:2]
+        items, _ = await self.first_items(key, 1)
+        return items[0][1:] if items and items[0][0] == key else None
+
+    async def first_items(self, prefix: str, limit: int) -> tuple[list[Item], int]:
+        """The first items under a prefix, and the revision."""
+        reply = await self._ask("GET", f"/kv?under={prefix}&limit={limit}")
+        if reply.status != 200:
+            raise UnavailableError(f"status {reply.status}")
+        return [(item["path"], item["v"], item["stamp"]) for item in reply.body["pairs"]], reply.body["epoch"]
+
     async def get(self, key: str) -> tuple[Any, int, int | None] | None:
         """Value, version and lease of a key, or None if it does not exist."""
         reply = await self._ask("GET", f"/kv/{key}")
--- /dev/null
+++ b/stileloft/rebuild/decisions.py
@@ -0,0 +1,120 @@
+"""Tasks that a rebuild left undecided: held back by the leader until an operator has decided."""
+
+import logging
+from typing import TYPE_CHECKING, Any
+
+import msgspec
+
+from stileloft.bookkeeping import records
+from stileloft.protocol.admin_errors import InvalidSettingsError, StaleVersionError, TemporarilyUnavailableError
+from stileloft.protocol.state import ConflictError, UnavailableError, UnknownOutcomeError
+from stileloft.rebuild import undecided
+from stileloft.rebuild.undecided import Decision, InvalidDecisionError, Undecided
+
+if TYPE_CHECKING:
+    from stileloft.bookkeeping.model import Job
+    from stileloft.coordination.leader import Term
+    from stileloft.coordination.node import Node
+
+log = logging.getLogger(__name__)
+
+# How often the leader looks for decisions, while anything is undecided.
+LOOK_S = 1.0
+
+Stored = dict[str, tuple[Undecided, int]]
+"""By job: its undecided tasks, and the version of their record."""
+
+
+async def read(term: "Term") -> Stored:
+    """All that is undecided; nothing is asked without the feature."""
+    if not term.node.integrity.can_be_lost:
+        return {}
+    items, _ = await term.state.scan(records.UNDECIDED)
+    return {key[len(records.UNDECIDED) :]: (undecided.from_record(value), version) for key, value, version in items}
+
+
+def hold(term: "Term", stored: Stored) -> None:
+    """Has no undecided task started; called with the term's lock held."""
+    term.unknown_jobs = frozenset(job for job, (found, _) in stored.items() if found.unknown)
+    for job_id, (found, _) in stored.items():
+        job = term.jobs.get(job_id)
+        if job is not None:
+            job.held = frozenset(found.open_tasks())
+
+
+async def carry_out(term: "Term") -> None:
+    """Does what operators decide, for as long as the term lasts."""
+    while term.alive:
+        await term.sleep(LOOK_S)
+        if not term.confirmed() or not (term.unknown_jobs or any(job.held for job in list(term.jobs.values()))):
+            continue
+        try:
+            stored = await read(term)
+            for job_id, (found, version) in stored.items():
+                await _carry_out_one(term, job_id, found, version)
+        except ConflictError:
+            continue  # an operator has decided more meanwhile: it is read again
+        except (UnavailableError, UnknownOutcomeError) as error:
+            log.debug("undecided tasks: %s", error)
+        except Exception:
+            log.exception("undecided tasks")
+
+
+async def _carry_out_one(term: "Term", job_id: str, found: Undecided, version: int) -> None:
+    job = term.jobs.get(job_id)
+    if job is not None and not found.unknown:
+        with term.lock:
+            if not _apply(term, job, found):
+                return
+    elif found.unknown and Decision.FORGET not in found.decisions.values() and job is None:
+        return
+    # Nothing of it is undecided any more, or the job is over or was submitted once more.
+    await term.state.commit(
+        {**term.leader_guard(), records.UNDECIDED + job_id: version}, {}, [records.UNDECIDED + job_id]
+    )
+    log.info("nothing of job %s is undecided any more", job_id)
+    with term.lock:
+        term.unknown_jobs -= {job_id}
+    term.request_round()
+
+
+def _apply(term: "Term", job: "Job", found: Undecided) -> bool:
+    """Brings the picture in line with the decisions; whether all are carried out and stored."""
+    open_tasks = found.open_tasks()
+    for text, decision in found.decisions.items():
+        index = int(text)
+        chunk = job.chunk_of(index)
+        if decision is Decision.DONE and index not in chunk.done and not job.over:
+            log.info("task %s/%d counts as done: an operator has decided so", job.id, index)
+            chunk.done.add(index)
+            job.done += 1
+            chunk.dirty = True
+            term.cluster.mark_dirty(job)
+    job.held = frozenset(open_tasks)
+    job.recount()
+    term.ledger.later(0.0)
+    decided = found.decisions.keys() >= found.evidence.keys()
+    return decided and not job.dirty and not job.busy
+
+
+async def decide(node: "Node", job: str, task: int | None, decision: str) -> dict[str, Any] | None:
+    """Stores an operator's decision; the leader carries it out."""
+    key = records.UNDECIDED + job
+    try:
+        chosen = Decision(decision)
+        found = await node.state.lookup(key)
+        if found is None:
+            return None
+        value = undecided.to_record(undecided.from_record(found[0]).decide(task, chosen))
+        guards = {key: found[1], **node.integrity.guards()}
+        revision = await node.state.commit(guards, {key: value}, [])
+    except (ValueError, InvalidDecisionError) as error:
+        raise InvalidSettingsError(f"decision: {error}") from None
+    except ConflictError:
+        raise StaleVersionError from None
+    except (UnavailableError, UnknownOutcomeError) as error:
+        raise TemporarilyUnavailableError(f"state service: {error}") from None
+    node.integrity.committed({key: value}, [], revision)
+    log.info("an operator has decided: %s of job %s %s", "all" if task is None else f"task {task}", job, decision)
+    answer: dict[str, Any] = msgspec.to_builtins(value)
+    return answer
--- /dev/null
+++ b/stileloft/rebuild/ends.py
@@ -0,0 +1,141 @@
+"""How jobs ended: compact enough to be kept for good, since users may ask at any later time.
+
+Job numbers with the same outcome share a bitmap, so that a job takes a few bytes rather than a record.
+"""
+
+import base64
+import binascii
+from collections.abc import Iterable, Iterator
+from typing import Any, NamedTuple
+
+from pyroaring import BitMap64
+
+from stileloft.bookkeeping import records
+
+# Numbers of more digits do not fit into 64 bits.
+MOST_DIGITS = 18
+JOB_PREFIX = "j-"
+# The bytes that a group takes beside its bitmap.
+GROUP_BYTES = 120
+
+
+class InvalidEndsError(Exception):
+    """Ends that cannot be read."""
+
+
+class JobEnd(NamedTuple):
+    """How a job ended."""
+
+    phase: str
+    tasks: int
+    """Its tasks that were done, for display."""
+
+
+class _Group(NamedTuple):
+    """Jobs that ended alike and whose numbers are written with the same count of digits."""
+
+    phase: str
+    tasks: int
+    digits: int
+
+
+class Ends:
+    """A set of jobs with their ends."""
+
+    def __init__(self) -> None:
+        self._groups: dict[_Group, BitMap64] = {}
+        self._long: dict[str, JobEnd] = {}
+        """Jobs whose numbers are too long for a bitmap."""
+
+    def __len__(self) -> int:
+        return len(self._long) + sum(len(numbers) for numbers in self._groups.values())
+
+    def add(self, job: str, end: JobEnd) -> None:
+        """Takes note of an end; the first one that is known of a job stays."""
+        if self.get(job) is not None:
+            return
+        digits = job[len(JOB_PREFIX) :]
+        if len(digits) > MOST_DIGITS:
+            self._long[job] = end
+        else:
+            self._groups.setdefault(_Group(end.phase, end.tasks, len(digits)), BitMap64()).add(int(digits))
+
+    def get(self, job: str) -> JobEnd | None:
+        """How a job ended; None if that is not known."""
+        digits = job[len(JOB_PREFIX) :]
+        if len(digits) > MOST_DIGITS:
+            return self._long.get(job)
+        number = int(digits)
+        for group, numbers in self._groups.items():
+            if group.digits == len(digits) and number in numbers:
+                return JobEnd(group.phase, group.tasks)
+        return None
+
+    def update(self, other: "Ends") -> None:
+        """Adds what another set knows."""
+        for job, end in other.items():
+            self.add(job, end)
+
+    def items(self) -> Iterator[tuple[str, JobEnd]]:
+        """All jobs with their ends."""
+        yield from self._long.items()
+        for group, numbers in self._groups.items():
+            for number in numbers:
+                yield f"{JOB_PREFIX}{number:0{group.digits}d}", JobEnd(group.phase, group.tasks)
+
+    def without(self, known: "Ends") -> "Ends":
+        """The jobs that another set does not know."""
+        rest = Ends()
+        for job, end in self.items():
+            if known.get(job) is None:
+                rest.add(job, end)
+        return rest
+
+    # -- encoding ----------------------------------------------------------------
+
+    def to_records(self, value_bytes: int) -> list[dict[str, Any]]:
+        """The set as values of at most so many bytes each."""
+        found: list[dict[str, Any]] = []
+        room = 0
+        for encoded in self._encoded_groups(value_bytes // 2):
+            size = records.size_of(encoded) + 2
+            if not found or size > room:
+                found.append({"groups": []})
+                room = value_bytes - records.size_of(found[-1])
+            found[-1]["groups"].append(encoded)
+            room -= size
+        return found
+
+    def _encoded_groups(self, most_bytes: int) -> Iterator[dict[str, Any]]:
+        for job, end in self._long.items():
+            yield {"phase": end.phase, "tasks": end.tasks, "job": job}
+        for group, numbers in self._groups.items():
+            for part in _parts(numbers, most_bytes):
+                ids = base64.b64encode(part.serialize()).decode()
+                yield {"phase": group.phase, "tasks": group.tasks, "digits": group.digits, "ids": ids}
+
+    def load(self, value: Any) -> None:
+        """Adds what a value of `to_records` tells."""
+        try:
+            for encoded in value["groups"]:
+                self._load_group(encoded)
+        except (KeyError, TypeError, ValueError, binascii.Error) as error:
+            raise InvalidEndsError(f"ends of jobs: {error!r}") from None
+
+    def _load_group(self, encoded: dict[str, Any]) -> None:
+        end = JobEnd(str(encoded["phase"]), int(encoded["tasks"]))
+        if "job" in encoded:
+            self._long[str(encoded["job"])] = end
+            return
+        numbers = BitMap64.deserialize(base64.b64decode(encoded["ids"], validate=True))
+        group = _Group(end.phase, end.tasks, int(encoded["digits"]))
+        self._groups[group] = self._groups.get(group, BitMap64()) | numbers
+
+
+def _parts(numbers: BitMap64, most_bytes: int) -> Iterable[BitMap64]:
+    """The numbers in bitmaps whose text is at most so long."""
+    if len(base64.b64encode(numbers.serialize())) + GROUP_BYTES <= most_bytes or len(numbers) <= 1:
+        return [numbers]
+    ordered = list(numbers)
+    middle = len(ordered) // 2
+    return [*_parts(BitMap64(ordered[:middle]), most_bytes), *_parts(BitMap64(ordered[middle:]), most_bytes)]
--- /dev/null
+++ b/stileloft/rebuild/service.py
@@ -0,0 +1,47 @@
+"""The feature's parts in a controller: protection, replica, and the rebuild that it leads."""
+
+from typing import TYPE_CHECKING, Any
+
+from twisted.internet import defer
+
+from stileloft.rebuild.follower import ReplicaFollower
+from stileloft.rebuild.protection import StoreProtection
+from stileloft.rebuild.rebuilder import Rebuilder
+
+if TYPE_CHECKING:
+    from stileloft.coordination.node import Node
+
+
+class Rebuild:
+    """What a node holds of the feature."""
+
+    def __init__(self, node: "Node") -> None:
+        self._node = node
+        self.protection = StoreProtection(node)
+        self.rebuilder: Rebuilder | None = None
+        """The rebuild that this node leads now."""
+
+    def run(self) -> None:
+        """Starts to look after the store."""
+        defer.ensureDeferred(self.protection.run())
+        defer.ensureDeferred(ReplicaFollower(self._node, self.protection).run())
+
+    def begin(self, token: int) -> None:
+        """Begins to write lost records back, as the leader with this token."""
+        self.rebuilder = Rebuilder(self._node, self.protection, token, lambda: self._done(token))
+        defer.ensureDeferred(self.rebuilder.run())
+
+    def _done(self, token: int) -> None:
+        self.rebuilder = None
+        self._node.begin_term(token)
+
+    def stop(self) -> None:
+        """The leadership is over."""
+        if self.rebuilder is not None:
+            self.rebuilder.stop()
+            self.rebuilder = None
+
+    def status(self) -> dict[str, Any]:
+        """What is known of the store, and of a rebuild that this node leads."""
+        under_way = {} if self.rebuilder is None else {"rebuild": self.rebuilder.status()}
+        return self.protection.status() | under_way
--- a/tests/simulation/controllers.py
+++ b/tests/simulation/controllers.py
@@ -64,6 +64,7 @@
             version.parse(self.settings(name)),
             lambda: self.now + 1000.0,
             lambda *_, **options: Connection(self, name, number, **options),
+            **({} if self.features[name] is None else {"features": self.features[name]}),
         )
         node.in_thread = lambda function, *arguments: defer.maybeDeferred(function, *arguments)  # type: ignore
         node.nonce = f"{name}-{number}"
--- a/tests/simulation/state_service.py
+++ b/tests/simulation/state_service.py
@@ -89,6 +89,22 @@
 
         self.world.clock.callLater(seconds, renewed)
 
+    def wipe(self, keeps_counting: bool = False) -> None:
+        """All records and leases are gone; revisions begin again, unless the service keeps counting."""
+        self.restore({}, self.revision if keeps_counting else 0)
+
+    def copy(self) -> tuple[dict[str, tuple[Any, int, int | None]], int]:
+        """The present state, for `restore`."""
+        return dict(self.items), self.revision
+
+    def restore(self, items: dict[str, tuple[Any, int, int | None]], revision: int) -> None:
+        """An older state comes back; leases, and all that hung on them, are gone."""
+        self.items = {key: item for key, item in items.items() if item[2] is None}
+        self.revision = revision
+        self.leases.clear()
+        self.changes.clear()
+        self.compacted = 0
+
     def expire(self) -> None:
         self.world.clock.callLater(0.05, self.expire)
         if self.world.now < self.down_until:
--- a/tests/simulation/world.py
+++ b/tests/simulation/world.py
@@ -6,6 +6,7 @@
 
 from stileloft.bookkeeping.records import split_task
 from stileloft.coordination.node import Node
+from stileloft.features import Features
 from tests.rules import Rules
 from tests.simulation.cloud import Cloud
 from tests.simulation.controllers import Controllers
@@ -17,6 +18,8 @@
 from tests.simulation.workers import Machine
 from tests.versions import NEW, Version
 
+NAMES = ("node-0", "node-1", "node-2")
+
 
 class World(Controllers, Network, Users):
     """Everything outside the nodes, the nodes, and the rules they have to keep."""
@@ -34,8 +37,11 @@
         value_kb: float = 4.0,
         coming: dict[str, float] | None = None,
         version: Version = NEW,
+        features: Features | None = None,
     ) -> None:
         """`coming` are the limits that the state service will have; `version` is what the nodes run at first."""
+        self.features = dict.fromkeys(NAMES, features)
+        """Which features each node's next process has."""
         self.value_kb = value_kb
         self.coming = coming or {}
         self.gangs: dict[tuple[str, int], Gang] = {}
@@ -46,7 +52,7 @@
         self.random = random.Random(seed)
         self.clock = Clock()
         self.loss = loss
-        self.names = ["node-0", "node-1", "node-2"]
+        self.names = list(NAMES)
         self.versions = dict.fromkeys(self.names, version)
         self.jobs: dict[str, dict[str, Any]] = {}
         self.lengths: dict[str, float] = {}
--- /dev/null
+++ b/tests/test_rebuild.py
@@ -0,0 +1,164 @@
+"""The state service loses its records in mid-batch: what was accepted runs once and ends with one answer."""
+
+from collections.abc import Callable
+
+import pytest
+
+from stileloft.features import Features, RebuildFeature
+from stileloft.rebuild.protection import Phase
+from tests.simulation.world import World
+
+ON = Features(rebuild=RebuildFeature(enabled=True))
+JOBS = 14
+
+
+def loaded_world(seed: int, features: Features = ON, **more) -> World:
+    """A world with jobs of all kinds, in mid-batch when the loss comes."""
+    world = World(seed, features=features, **more)
+    for number in range(JOBS):
+        body = world.job(
+            number,
+            pieces=(1, 3, 12)[number % 3],
+            vcpus=1.0,
+            guessS=(6.0, 25.0)[number % 2],
+            crew=("core", "edge")[number % 2],
+            shape="gang" if number % 7 == 5 else "array",
+            lane=("batch", "once")[number % 4 == 1],
+        )
+        world.clock.callLater(4.0 + 1.5 * number, world.submit, body)
+    return world
+
+
+def finish(world: World, longest_s: float = 300.0) -> None:
+    """Plays until all jobs have ended, and checks the rules."""
+    end = world.now + longest_s
+    while world.now < end and not all(world.rules.is_final(job) for job in world.jobs):
+        world.run(2)
+        world.rules.check_cancelled()
+    assert world.rules.broken == []
+    unfinished = {job: world.rules.last.get(job) for job in world.jobs if not world.rules.is_final(job)}
+    assert unfinished == {}
+
+
+def phases(world: World) -> set[Phase]:
+    return {node.rebuild.protection.phase for node in world.nodes.values() if node is not None}
+
+
+# -- losses --------------------------------------------------------------------------------------------------------
+
+Loss = Callable[[World], None]
+
+
+def wiped(world: World) -> None:
+    world.state.wipe()
+
+
+def wiped_but_counting(world: World) -> None:
+    world.state.wipe(keeps_counting=True)
+
+
+def leader_lost_with_it(world: World) -> None:
+    name = world.leader()
+    world.state.wipe()
+    if name is not None:
+        world.kill(name, back_after=8.0)
+
+
+def leader_killed_in_the_rebuild(world: World) -> None:
+    world.state.wipe()
+    world.clock.callLater(1.05, lambda: [world.kill(name, 6.0) for name in world.names if is_rebuilding(world, name)])
+
+
+def is_rebuilding(world: World, name: str) -> bool:
+    node = world.nodes[name]
+    return node is not None and node.rebuild.rebuilder is not None
+
+
+def wiped_twice(world: World) -> None:
+    world.state.wipe()
+    world.clock.callLater(1.1, world.state.wipe)
+
+
+def wiped_during_an_outage(world: World) -> None:
+    world.state.outage(5.0)
+    world.clock.callLater(2.0, world.state.wipe)
+
+
+def machines_silent(world: World) -> None:
+    for machine in [m for m in world.cloud.machines.values() if m.up][::3]:
+        for name in world.names:
+            world.cut(machine.name, name, 25.0)
+    world.state.wipe()
+
+
+def all_machines_hang_and_leader_lost(world: World) -> None:
+    for machine in [m for m in world.cloud.machines.values() if m.up][::2]:
+        machine.hung = True
+        world.clock.callLater(9.0, setattr, machine, "hung", False)
+    leader_lost_with_it(world)
+
+
+def one_controller_cut_off(world: World) -> None:
+    name = next(n for n in world.names if n != world.leader())
+    for other in (*world.names, "state"):
+        if other != name:
+            world.cut(name, other, 20.0)
+    world.state.wipe()
+
+
+def late_copies(world: World) -> None:
+    world.copies = 0.1
+    world.clock.callLater(60.0, setattr, world, "copies", 0.0)
+    world.state.wipe()
+
+
+LOSSES: dict[str, Loss] = {
+    loss.__name__: loss
+    for loss in (
+        wiped,
+        wiped_but_counting,
+        leader_lost_with_it,
+        leader_killed_in_the_rebuild,
+        wiped_twice,
+        wiped_during_an_outage,
+        machines_silent,
+        all_machines_hang_and_leader_lost,
+        one_controller_cut_off,
+        late_copies,
+    )
+}
+
+
+@pytest.mark.parametrize("seed", [1, 2])
+@pytest.mark.parametrize("name", LOSSES)
+def test_a_loss_in_mid_batch(name: str, seed: int) -> None:
+    world = loaded_world(seed)
+    for number in (2, 7, 11):
+        # Confirmed shortly before the loss, at it, and after it.
+        world.clock.callLater(16.5 + number, world.cancel, f"j-{number:06d}")
+    world.run(24.0)
+    assert phases(world) == {Phase.SOUND}
+    LOSSES[name](world)
+    finish(world)
+    assert phases(world) == {Phase.SOUND}
+
+
+def test_without_the_feature_jobs_are_forgotten() -> None:
+    """The checker sees what a loss does to a service that does not notice it."""
+    world = loaded_world(3, features=Features())
+    world.run(24.0)
+    world.state.wipe()
+    world.run(60.0)
+    assert any("forgotten" in broken for broken in world.rules.broken)
+
+
+def test_an_older_state_comes_back() -> None:
+    """Ends and cancellations that it does not know stay; so do jobs that were accepted since."""
+    world = loaded_world(4)
+    world.run(14.0)
+    older = world.state.copy()
+    world.cancel("j-000001")
+    world.run(14.0)
+    assert world.rules.is_final("j-000001")
+    world.state.restore(*older)
+    finish(world)
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -13,7 +13,8 @@
 from stileloft.bookkeeping import records
 from stileloft.coordination.ledger import REFUSED_S
 from stileloft.protocol import messages
-from stileloft.protocol.admin import InvalidSettingsError, OperatorSettings, StaleVersionError, parse_operator_settings
+from stileloft.protocol.admin import OperatorSettings, parse_operator_settings
+from stileloft.protocol.admin_errors import InvalidSettingsError, StaleVersionError
 from stileloft.protocol.state import Budget
 from stileloft.protocol.users import REPORT_PATH, PublicResources
 from stileloft.settings import SettingsError, parse
