--- a/stileloft/coordination/dispatch.py
+++ b/stileloft/coordination/dispatch.py
@@ -111,7 +111,7 @@
                     self._take_state(machine, placement, task, now)
             elif task.state == EXITED:
                 self.forget_later(machine, task.task, task.attempt, task.why == "done")
-            elif key[0] not in self.term.unknown_jobs:
+            else:
                 strays[task.task] = self._stray(key[0], task)
         self._take_strays(machine, strays)
         for placement in unseen.values():
@@ -124,7 +124,8 @@
         if strays.keys() != machine.strays.keys():
             machine.view = None
         for task_id in strays.keys() - machine.strays.keys():
-            log.info("task %s on %s is not ours to run there: stopping it", task_id, machine.id)
+            if not self.term.is_left_alone(records.split_task(task_id)[0]):
+                log.info("task %s on %s is not ours to run there: stopping it", task_id, machine.id)
         machine.strays = strays
 
     def _take_absence(self, machine: Machine, placement: Placement) -> None:
@@ -264,7 +265,11 @@
                 placement.stop_at = now
                 others.append(command)
         commands += others
-        commands += [messages.stop(task, stray.attempt, 0.0) for task, stray in machine.strays.items()]
+        commands += [
+            messages.stop(task, stray.attempt, 0.0)
+            for task, stray in machine.strays.items()
+            if not self.term.is_left_alone(records.split_task(task)[0])
+        ]
         return commands
 
     def _forgets(self, machine: Machine) -> list[dict[str, Any]]:
--- a/stileloft/coordination/leader.py
+++ b/stileloft/coordination/leader.py
@@ -162,6 +162,10 @@
             # Its chunks must have one record each, within the limit to come.
             job.most_placed = most
 
+    def is_left_alone(self, job_id: str) -> bool:
+        """Whether a job's tasks run on though the store places none of them: only workers' reports tell of it."""
+        return job_id in self.unknown_jobs and job_id not in self.jobs
+
     def remove_job(self, job: Job) -> None:
         """Lets go of a job of which nothing is left."""
         self.cluster.remove_job(job.id)
--- a/stileloft/rebuild/snapshot.py
+++ b/stileloft/rebuild/snapshot.py
@@ -104,7 +104,8 @@
         piece = msgspec.convert(told, Piece)
     except msgspec.MsgspecError as error:
         raise InvalidSnapshotError(f"it cannot be read: {error}") from None
-    if deployment is not None and piece.holder.deployment != deployment:
+    # A controller that has just begun knows of no deployment yet, and of nothing else.
+    if deployment is not None and piece.holder.deployment not in ("", deployment):
         raise InvalidSnapshotError(f"it is of another deployment, {piece.holder.deployment}")
     if piece.digest != _digest(piece.records, piece.ends):
         raise InvalidSnapshotError(f"piece {piece.number} is damaged")
--- a/tests/rules.py
+++ b/tests/rules.py
@@ -26,6 +26,7 @@
         self.cancelled_at: dict[str, float] = {}
         self.final_at: dict[str, float] = {}
         self.starts = 0
+        self.starts_by_task: dict[str, int] = {}
         self.submitted_at: dict[str, float] = {}
         self.begun_at: dict[str, float] = {}
         self.unanswered: dict[str, float] = {}
@@ -40,6 +41,10 @@
         self.beside_room: dict[str, float] = {}
         """Since when a job's task waits beside a machine that has room for it, and no task of it was started."""
 
+    def starts_of(self, tasks: set[str]) -> int:
+        """How often any of these tasks has begun."""
+        return sum(self.starts_by_task.get(task, 0) for task in tasks)
+
     def job_of(self, task: str) -> dict[str, Any]:
         return self.world.jobs[task.rpartition("/")[0]]
 
@@ -48,6 +53,7 @@
 
     def started(self, task: str, machine: "Machine", now: float) -> None:
         self.starts += 1
+        self.starts_by_task[task] = self.starts_by_task.get(task, 0) + 1
         name = task.rpartition("/")[0]
         self.beside_room.pop(name, None)  # it is being served: of a job of thousands some task always waits
         if self.job_of(task)["shape"] != "gang":  # a gang begins when all its tasks run
--- a/tests/simulation/controllers.py
+++ b/tests/simulation/controllers.py
@@ -15,7 +15,7 @@
 from tests.simulation.deployment import SETTINGS
 from tests.simulation.gangs import Gang
 from tests.simulation.processes import Process
-from tests.versions import Version
+from tests.versions import NEW, Version
 
 # How often connections that were given up are cleared away.
 PRUNE_S = 0.05
@@ -64,7 +64,7 @@
             version.parse(self.settings(name)),
             lambda: self.now + 1000.0,
             lambda *_, **options: Connection(self, name, number, **options),
-            **({} if self.features[name] is None else {"features": self.features[name]}),
+            **({"features": self.features[name]} if version is NEW and self.features[name] else {}),
         )
         node.in_thread = lambda function, *arguments: defer.maybeDeferred(function, *arguments)  # type: ignore
         node.nonce = f"{name}-{number}"
--- a/tests/simulation/world.py
+++ b/tests/simulation/world.py
@@ -26,6 +26,8 @@
 
     # Of the settings; a subclass that changes them has to change its `settings` alike.
     REPORT_S, LEASE_S, CANCEL_S = 2.0, 12.0, 30.0
+    FEATURES: Features | None = None
+    """What is on if a world's maker does not say."""
     LAPSE_S = 0.2
     """How often a worker looks whether its lease has run out."""
 
@@ -40,7 +42,7 @@
         features: Features | None = None,
     ) -> None:
         """`coming` are the limits that the state service will have; `version` is what the nodes run at first."""
-        self.features = dict.fromkeys(NAMES, features)
+        self.features = dict.fromkeys(NAMES, features or self.FEATURES)
         """Which features each node's next process has."""
         self.value_kb = value_kb
         self.coming = coming or {}
