--- a/stileloft/rebuild/follower.py
+++ b/stileloft/rebuild/follower.py
@@ -64,7 +64,7 @@
         identity = self._protection.identity
         if identity is None:
             return
-        loaded = Replica(identity.generation)
+        loaded = self._protection.loading = Replica(identity.generation)
         revision: int | None = None
         for prefix in (*RESTORED_PREFIXES, records.ENDED, records.FINAL):
             items, at = await self._state.scan(prefix)
@@ -84,7 +84,7 @@
         await self._protection.is_heard()
         loaded.ends.update(self._protection.replica.ends)
         loaded.complete = True
-        self._protection.replica = loaded
+        self._protection.replica, self._protection.loading = loaded, None
         log.info("the replica holds %d records and %d ends", len(loaded.records), len(loaded.ends))
 
     async def _follow(self) -> None:
--- a/stileloft/rebuild/protection.py
+++ b/stileloft/rebuild/protection.py
@@ -61,6 +61,8 @@
         self.identity_version = 0
         self.replica = Replica()
         """What the store held last while it was sound."""
+        self.loading: Replica | None = None
+        """The next replica, while all records are read."""
         self.lost_at: float | None = None
         """When the loss was noticed, by this process's clock."""
         self.reason = ""
@@ -115,16 +117,16 @@
         self.highest_token = max(self.highest_token, token)
 
     def committed(self, puts: Mapping[str, Any], deletes: Iterable[str], revision: int) -> None:
-        if (
-            self.phase is not Phase.SOUND
-            or self.identity is None
-            or self.replica.generation != self.identity.generation
-        ):
+        if self.phase is not Phase.SOUND or self.identity is None:
             return
-        for key, value in puts.items():
-            self.replica.apply(key, value, revision)
-        for key in deletes:
-            self.replica.apply(key, None, revision)
+        gone = list(deletes)
+        for replica in (self.replica, self.loading):
+            if replica is None or replica.generation != self.identity.generation:
+                continue
+            for key, value in puts.items():
+                replica.apply(key, value, revision)
+            for key in gone:
+                replica.apply(key, None, revision)
 
     def end_of(self, _job: str) -> KnownEnd | None:
         end = self.replica.ends.get(_job)
@@ -197,6 +199,9 @@
             self._state.forget_revisions()
         self.identity, self.identity_version = present, version
         self.phase = Phase.REBUILDING if present.rebuilding else Phase.SOUND
+        if known is None and before is Phase.UNPROTECTED:
+            # A term that began before the store had an identity goes on in its first generation.
+            self.led_generation = present.generation
         if self.phase is Phase.SOUND:
             self.lost_at, self.reason = None, ""
         if self.phase is not before:
--- /dev/null
+++ b/tests/loopback_cluster.py
@@ -0,0 +1,341 @@
+"""Real processes of this program, with the fakes of everything else on loopback.
+
+`python3 -m tests.loopback_cluster --seed 1 --wipe-at 6 --kill-leader --lose-machines 2` plays a batch, wipes the state
+service in the middle of it, and prints how each job ended, as JSON. Without `--wipe-at` the batch is undisturbed.
+"""
+
+import argparse
+import json
+import os
+import random
+import re
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+from twisted.internet import defer, reactor
+from twisted.web import resource, server
+
+from stileloft.bookkeeping.records import split_task
+from stileloft.protocol import messages
+from stileloft.protocol.users import REPORT_PATH
+from stileloft.transport.client import Client, ConnectionFailedError, NoResponseError, Reply
+from tests.rules import Rules
+from tests.simulation.cloud import Cloud
+from tests.simulation.deployment import SETTINGS
+from tests.simulation.gangs import Gang
+from tests.simulation.state_service import StateService
+from tests.simulation.users import Users
+from tests.simulation.workers import Machine
+
+ROOT = Path(__file__).parent.parent
+LOCAL = "127.0.0.1"
+POLL_S = 0.5
+CANCEL_AFTER_S = 1.5
+REBUILT = re.compile(r"rebuilt in ([0-9.]+) s and ([0-9]+) transactions")
+
+
+def free_ports(count: int) -> list[int]:
+    """Ports that nobody listens on at the moment."""
+    taken = [socket.create_server((LOCAL, 0)) for _ in range(count)]
+    ports = [each.getsockname()[1] for each in taken]
+    for each in taken:
+        each.close()
+    return ports
+
+
+class FakeResource(resource.Resource):
+    """Passes requests to a fake, and its replies back."""
+
+    isLeaf = True
+
+    def __init__(self, handle: Any) -> None:
+        super().__init__()
+        self._handle = handle
+
+    def render(self, request: server.Request) -> int:
+        data = request.content.read()
+        body = messages.decode(data) if data else None
+        answered = defer.maybeDeferred(self._handle, request.method.decode(), request.uri.decode(), body)
+        answered.addCallbacks(lambda reply: self._send(request, reply), lambda _: request.loseConnection())
+        return server.NOT_DONE_YET
+
+    @staticmethod
+    def _send(request: server.Request, reply: Reply) -> None:
+        request.setResponseCode(reply.status)
+        request.write(messages.encode(reply.body))
+        request.finish()
+
+
+class LoopbackMachine(Machine):
+    """A worker with an address of its own."""
+
+    def __init__(self, world: "LoopbackCluster", *arguments: Any) -> None:
+        super().__init__(world, *arguments)
+        self.address = f"{LOCAL}:{world.listen(lambda _method, _path, body: self.command(body))}"
+
+    def deliver(self, target: str, body: Any) -> defer.Deferred:
+        return defer.ensureDeferred(self._deliver(target, body))
+
+    async def _deliver(self, target: str, body: Any) -> Reply:
+        reply = await self.world.client.request("POST", self.world.public[target], REPORT_PATH, body, 4.0)
+        return Reply(reply.status, reply.body)
+
+
+class LoopbackCloud(Cloud):
+    def machine(self, name: str, kind: dict, zone: str, spot: bool) -> Machine:
+        return LoopbackMachine(self.world, name, kind, zone, spot)
+
+
+@dataclass
+class Outcome:
+    """What is printed."""
+
+    answers: dict[str, str] = field(default_factory=dict)
+    broken: list[str] = field(default_factory=list)
+    starts: int = 0
+    first_start_after_s: float | None = None
+    """From the wipe to the next start of a task."""
+    rebuilt: list[tuple[float, int]] = field(default_factory=list)
+    """Seconds and transactions of each rebuild."""
+    took_s: float = 0.0
+
+
+class LoopbackCluster(Users):
+    """Everything that controllers talk to, on real time and real sockets."""
+
+    REPORT_S, LEASE_S, CANCEL_S, LAPSE_S = 0.5, 4.0, 14.0, 0.1
+
+    def __init__(self, options: argparse.Namespace) -> None:
+        self.options = options
+        self.clock = reactor
+        self._began = reactor.seconds()
+        self.random = random.Random(options.seed)
+        self.names = ["node-0", "node-1", "node-2"]
+        ports = free_ports(2 * len(self.names))
+        self.public = {name: f"{LOCAL}:{ports[2 * n]}" for n, name in enumerate(self.names)}
+        self.peers = {name: f"{LOCAL}:{ports[2 * n + 1]}" for n, name in enumerate(self.names)}
+        self.client = Client(
+            reactor, messages.encode, messages.decode, b"application/cbor", per_host=20, connect_s=1.0, idle_s=30.0
+        )
+        self.value_kb = 4.0
+        self.most_sockets, self.sessions_lost = 10_000, 0
+        self.report_connections: dict[str, set[str]] = {name: set() for name in self.names}
+        self.jobs: dict[str, dict[str, Any]] = {}
+        self.lengths: dict[str, float] = {}
+        self.gangs: dict[tuple[str, int], Gang] = {}
+        self.saved: dict[str, float] = {}
+        self.lost_gangs, self.close_looks = 0, 0.0
+        self.mistaken: set[str] = set()
+        self.faulty: set[str] = set()
+        self.every_machine: dict[str, Machine] = {}
+        self.rules = Rules(self)
+        self.state = StateService(self)
+        self.cloud = LoopbackCloud(self, capacity=8)
+        self.cloud.boot_s, self.cloud.never_up = 0.5, 0.0
+        self.to_cancel: set[str] = set()
+        self.outcome = Outcome()
+        self.wiped_at: float | None = None
+        self.folder = Path(tempfile.mkdtemp())
+        self.state_port = self.listen(lambda method, path, body: self.state.ask("", method, path, body))
+        self.cloud_port = self.listen(lambda method, path, body: self.cloud.handle("", method, path, body))
+        self.processes = {name: self.spawn(name) for name in self.names}
+
+    @property
+    def now(self) -> float:
+        return reactor.seconds() - self._began
+
+    def listen(self, handle: Any) -> int:
+        """The port on which a fake answers."""
+        port = reactor.listenTCP(0, server.Site(FakeResource(handle)), interface=LOCAL)
+        return port.getHost().port
+
+    # -- what the fakes ask ------------------------------------------------------------
+
+    def sockets(self, _name: str) -> int:
+        return 0
+
+    def keeps_report_connection(self, _name: str) -> bool:
+        return True
+
+    def gang_of(self, task: str, attempt: int) -> Gang | None:
+        return self.gangs.get((split_task(task)[0], attempt))
+
+    def run_s(self, task: str) -> float:
+        return self.lengths.setdefault(task, self.jobs[split_task(task)[0]]["guessS"])
+
+    # -- controllers ---------------------------------------------------------------------
+
+    def settings(self, name: str) -> str:
+        peers = "".join(
+            f'[[peers]]\nmember = "{other}"\nsite = "a"\naddress = "{self.peers[other]}"\n'
+            for other in self.names
+            if other != name
+        )
+        text = SETTINGS.format(n=self.names.index(name), zone="a", peers=peers, value_kb=self.value_kb, coming="")
+        number = self.names.index(name)
+        for old, new in (
+            (f"10.0.0.{number}:8080", self.public[name]),
+            (f"10.0.0.{number}:8081", self.peers[name]),
+            ("10.9.0.1:1", f"{LOCAL}:{self.state_port}"),
+            ("10.9.0.2:1", f"{LOCAL}:{self.cloud_port}"),
+            ("report_s = 2.0", f"report_s = {self.REPORT_S}"),
+            ("lease_s = 12.0", f"lease_s = {self.LEASE_S}"),
+            ("cancel_s = 30.0", f"cancel_s = {self.CANCEL_S}"),
+        ):
+            text = text.replace(old, new)
+        return text
+
+    def spawn(self, name: str) -> subprocess.Popen:
+        settings, features = self.folder / f"{name}.toml", self.folder / "features.toml"
+        settings.write_text(self.settings(name))
+        features.write_text(f"[rebuild]\nenabled = {str(not self.options.without).lower()}\nfollow_s = 0.1\n")
+        command = [sys.executable, str(ROOT / "run.py"), "--features", str(features), "--config", str(settings)]
+        log = (self.folder / f"{name}.log").open("ab")
+        return subprocess.Popen(command, stderr=log, env=os.environ | {"LOG_LEVEL": "info"})
+
+    def leader(self) -> str | None:
+        item = self.state.items.get("leader")
+        return None if item is None else item[0]["member"]
+
+    def kill_leader(self, name: str | None) -> None:
+        if name is not None:
+            self.processes[name].send_signal(signal.SIGKILL)
+            self.processes[name].wait()
+            self.clock.callLater(1.0, lambda: self.processes.update({name: self.spawn(name)}))
+
+    # -- users ---------------------------------------------------------------------------
+
+    def _ask(self, ask: Any, told: Any, job: str) -> None:
+        """Users over HTTP: `ask` is a request rather than a call of a node."""
+        defer.ensureDeferred(self._ask_http(ask, told, job))
+
+    async def _ask_http(self, ask: tuple[str, str, Any], told: Any, job: str) -> None:
+        method, path, body = ask
+        while True:
+            asked_at = self.now
+            self.rules.asked(job)
+            try:
+                address = self.public[self.random.choice(self.names)]
+                reply = await self.client.request(method, address, path, body, 2.0)
+            except (ConnectionFailedError, NoResponseError):
+                reply = Reply(503, None)
+            if reply.status in (200, 201, 404):
+                answer = reply.body if reply.status != 404 else None
+                self.rules.told(job, answer, asked_at)
+                self.rules.answered(job)
+                told(job, answer)
+                return
+            await self.sleep(POLL_S)
+
+    def sleep(self, seconds: float) -> defer.Deferred:
+        done: defer.Deferred = defer.Deferred()
+        self.clock.callLater(seconds, done.callback, None)
+        return done
+
+    def _accepted(self, job: str, _result: Any) -> None:
+        if job in self.to_cancel:
+            self.clock.callLater(CANCEL_AFTER_S, self.cancel, job)
+        self._poll(job)
+
+    def _poll(self, job: str) -> None:
+        if not self.rules.is_final(job):
+            self.clock.callLater(POLL_S, self._ask, self._question(job), lambda other, _: self._poll(other), job)
+
+    @staticmethod
+    def _question(job: str) -> Any:
+        return "GET", f"/v2/runs/{job}", None
+
+    def _submission(self, body: dict[str, Any]) -> Any:
+        return "POST", "/v2/runs", body
+
+    def cancel(self, job: str) -> None:
+        self.rules.cancelling(job)
+        self._ask(("POST", f"/v2/runs/{job}/cancel", {}), lambda *_: None, job)
+
+    # -- the batch -------------------------------------------------------------------------
+
+    def begin(self) -> None:
+        options = self.options
+        for number in range(options.jobs):
+            body = self.job(
+                number,
+                pieces=1 + number % 4,
+                vcpus=1.0,
+                guessS=1.0 + number % 3,
+                crew=("core", "edge")[number % 2],
+                shape="gang" if number % 7 == 5 else "array",
+            )
+            self.clock.callLater(1.0 + options.spacing_s * number, self.submit, body)
+            if number % 6 == 4:
+                # Cancelled once it is accepted; it takes long, so that its end does not depend on the batch's pace.
+                body["guessS"] = 300.0
+                self.to_cancel.add(body["nameId"])
+        if options.wipe_at is not None:
+            self.clock.callLater(options.wipe_at, self.lose_state)
+        self.clock.callLater(1.0, self.look)
+
+    def lose_state(self) -> None:
+        self.wiped_at = self.now
+        self.starts_at_wipe = self.rules.starts
+        leader = self.leader()
+        self.state.wipe()
+        if self.options.kill_leader:
+            self.kill_leader(leader)
+        for machine in [m for m in self.cloud.machines.values() if m.up][: self.options.lose_machines]:
+            machine.die()
+
+    def look(self) -> None:
+        """Ends the run when all jobs have, or it takes too long."""
+        self.rules.check_cancelled()
+        awaited = self.wiped_at is not None and self.outcome.first_start_after_s is None
+        if awaited and self.rules.starts > self.starts_at_wipe:
+            self.outcome.first_start_after_s = round(self.now - self.wiped_at, 2)
+        all_there = len(self.jobs) == self.options.jobs
+        if (all_there and all(self.rules.is_final(job) for job in self.jobs)) or self.now > self.options.longest_s:
+            self.finish()
+        else:
+            self.clock.callLater(0.1, self.look)
+
+    def finish(self) -> None:
+        for process in self.processes.values():
+            process.kill()
+            process.wait()
+        outcome = self.outcome
+        outcome.answers = {job: self.rules.last.get(job, "unanswered") for job in sorted(self.jobs)}
+        outcome.broken, outcome.starts, outcome.took_s = self.rules.broken, self.rules.starts, round(self.now, 1)
+        for name in self.names:
+            text = (self.folder / f"{name}.log").read_text(errors="replace")
+            outcome.rebuilt += [(float(s), int(n)) for s, n in REBUILT.findall(text)]
+            if self.options.logs:
+                print(f"--- {name}\n{text}", file=sys.stderr)
+        reactor.stop()
+
+
+def main() -> None:
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--jobs", type=int, default=16)
+    parser.add_argument("--spacing-s", type=float, default=0.4)
+    parser.add_argument("--wipe-at", type=float)
+    parser.add_argument("--kill-leader", action="store_true")
+    parser.add_argument("--lose-machines", type=int, default=0)
+    parser.add_argument("--without", action="store_true", help="the feature off")
+    parser.add_argument("--longest-s", type=float, default=60.0)
+    parser.add_argument("--logs", action="store_true")
+    cluster = LoopbackCluster(parser.parse_args())
+    began = time.monotonic()
+    reactor.callWhenRunning(cluster.begin)
+    reactor.run()
+    assert time.monotonic() > began
+    print(json.dumps(cluster.outcome.__dict__))
+
+
+if __name__ == "__main__":
+    main()
--- a/tests/simulation/cloud.py
+++ b/tests/simulation/cloud.py
@@ -34,6 +34,9 @@
         """What is left of the burst of requests, and when that was counted."""
         self.refused_rates = 0
         self.down_until = 0.0
+        self.boot_s = 15.0
+        self.never_up = 0.03
+        """The share of machines that never come up."""
         self.boots_until = 0.0
         self.boots = (0.0, 0.0, 0.0)
         """Until then: the share of machines that never come up, that of late ones, and how long a boot takes."""
@@ -108,13 +111,16 @@
         self.requests[body["hire"]] = names
         return Reply(200, {"hosts": names})
 
+    def machine(self, name: str, kind: dict, zone: str, spot: bool) -> Machine:
+        return Machine(self.world, name, kind, zone, spot)
+
     def add(self, kind: dict, zone: str, spot: bool) -> Machine:
         name = f"n-{len(self.world.every_machine):06d}"
-        machine = Machine(self.world, name, kind, zone, spot)
+        machine = self.machine(name, kind, zone, spot)
         self.machines[name] = machine
         self.world.every_machine[name] = machine
         draw = self.world.random.random()
-        boot_s = 15 * self.world.random.uniform(0.6, 1.5)
+        boot_s = self.boot_s * self.world.random.uniform(0.6, 1.5)
         if self.world.now < self.boots_until:
             never, late, self_made = self.boots
             boot_s = self_made or boot_s
@@ -122,6 +128,6 @@
                 return machine
             if draw < never + late:
                 boot_s *= 6
-        if draw > 0.03:  # a few never come up
+        if draw > self.never_up:
             self.world.clock.callLater(boot_s, machine.boot)
         return machine
--- a/tests/simulation/workers.py
+++ b/tests/simulation/workers.py
@@ -2,6 +2,8 @@
 
 from typing import TYPE_CHECKING, Any
 
+from twisted.internet import defer
+
 from stileloft.bookkeeping.records import split_task
 from stileloft.protocol import messages
 from stileloft.transport.client import NoResponseError, Reply
@@ -90,10 +92,7 @@
             self.next_node()
             self.world.clock.callLater(1.0, self.send_report)
             return
-        waiting = self.world.send(
-            self.name, target, lambda: self.world.to_node(target, lambda: self.world.deliver_report(target, body))
-        )
-        body = messages.decode(messages.encode(self.report()))
+        waiting = self.deliver(target, messages.decode(messages.encode(self.report())))
         timer = self.world.clock.callLater(4.0, waiting.cancel)
 
         def answered(reply: Reply) -> None:
@@ -129,6 +128,12 @@
 
         waiting.addCallbacks(answered, failed)
 
+    def deliver(self, target: str, body: Any) -> defer.Deferred:
+        """Sends a report to a node."""
+        return self.world.send(
+            self.name, target, lambda: self.world.to_node(target, lambda: self.world.deliver_report(target, body))
+        )
+
     def connect(self, target: str) -> bool:
         """Whether there is a connection to report on; none is made while the node has no socket left."""
         if self.connected_to == target:
--- a/tests/test_rebuild.py
+++ b/tests/test_rebuild.py
@@ -1,6 +1,10 @@
 """The state service loses its records in mid-batch: what was accepted runs once and ends with one answer."""
 
+import json
+import subprocess
+import sys
 from collections.abc import Callable
+from pathlib import Path
 from typing import Any
 
 import msgspec
@@ -19,6 +23,7 @@
 
 ON = Features(rebuild=RebuildFeature(enabled=True))
 JOBS = 14
+ROOT = Path(__file__).parent.parent
 
 
 def loaded_world(seed: int, features: Features = ON, **more) -> World:
@@ -390,3 +395,26 @@
     assert phases(world) == {Phase.SOUND}
     assert world.nodes[world.leader()].term.token > max(150, tokens)
     assert undecided_jobs(world)
+
+
+# -- real processes --------------------------------------------------------------------------------------------------
+
+
+def play_on_loopback(*options: str) -> dict[str, Any]:
+    """What became of a batch that real processes served."""
+    command = [sys.executable, "-m", "tests.loopback_cluster", "--jobs", "14", *options]
+    done = subprocess.run(command, capture_output=True, text=True, timeout=120, cwd=ROOT, check=True)
+    return json.loads(done.stdout)
+
+
+def test_real_processes_end_all_jobs_as_without_the_loss() -> None:
+    """The state service is wiped in mid-batch, also with the leader and machines lost; the same seed each time."""
+    undisturbed = play_on_loopback("--seed", "3")
+    wiped_once = play_on_loopback("--seed", "3", "--wipe-at", "4.0")
+    all_at_once = play_on_loopback("--seed", "3", "--wipe-at", "4.0", "--kill-leader", "--lose-machines", "2")
+    for played in (undisturbed, wiped_once, all_at_once):
+        assert played["broken"] == []
+        assert played["answers"] == undisturbed["answers"]
+    assert set(undisturbed["answers"].values()) == {"done", "aborted"}
+    assert not undisturbed["rebuilt"] and wiped_once["rebuilt"] and all_at_once["rebuilt"]
+    assert wiped_once["starts"] == undisturbed["starts"]
