--- a/stileloft/coordination/integrity.py
+++ b/stileloft/coordination/integrity.py
@@ -56,8 +56,8 @@
     def saw_token(self, token: int) -> None:
         """A worker knows this token."""
 
-    def committed(self, puts: Mapping[str, Any], deletes: Iterable[str], revision: int) -> None:
-        """This controller has changed the store."""
+    def committed(self, puts: Mapping[str, Any], deletes: Iterable[str], revision: int, told: bool = True) -> None:
+        """This controller has changed the store; `told`: users hear of all of it, rather than of jobs' ends only."""
 
     def end_of(self, _job: str) -> KnownEnd | None:
         """How a job ended of which the store has no record of its own."""
--- a/stileloft/coordination/ledger.py
+++ b/stileloft/coordination/ledger.py
@@ -235,7 +235,7 @@
                 entry.job.late_copy = True
                 self.start_reload(entry.job)
         else:
-            term.node.integrity.committed(puts, deletes, revision)
+            term.node.integrity.committed(puts, deletes, revision, told=False)
             self._executed(batch, revision)
 
     def _conflicted(self, batch: list[Entry], conflict: ConflictError) -> None:
--- a/stileloft/coordination/node.py
+++ b/stileloft/coordination/node.py
@@ -399,6 +399,10 @@
         """A piece of this node's replica of the store, for a peer that rebuilds it."""
         return None if self.rebuild is None else self.rebuild.protection.piece(number)
 
+    def take_notes(self, body: Any) -> bool:
+        """Takes in what a peer has just told its users; whether it could be read."""
+        return self.rebuild is not None and self.rebuild.take_notes(body)
+
     async def decide(self, job: str, task: int | None, decision: str) -> dict[str, Any] | None:
         """Takes an operator's word on undecided tasks; None if the job has none."""
         return None if self.rebuild is None else await decisions.decide(self, job, task, decision)
--- a/stileloft/protocol/peers.py
+++ b/stileloft/protocol/peers.py
@@ -1,5 +1,6 @@
 """What controllers ask each other, on the peer addresses."""
 
+import contextlib
 from typing import Any
 
 import msgspec
@@ -9,6 +10,7 @@
 from stileloft.transport.client import Client, ConnectionFailedError, NoResponseError
 
 SNAPSHOT_PATH = "/rebuild/snapshot/"
+NOTES_PATH = "/rebuild/notes"
 # A piece of a replica may take longer to make and to send than a view does.
 SNAPSHOT_TIMEOUTS = 5.0
 
@@ -54,6 +56,11 @@
             return None
         return bytes(reply.body["piece"], "utf-8")
 
+    async def send_notes(self, address: str, notes: Any) -> None:
+        """Tells a controller what users have just been told; whether it hears that is not asked."""
+        with contextlib.suppress(ConnectionFailedError, NoResponseError):
+            await self._client.request("POST", address, NOTES_PATH, notes, self._timeout_s)
+
     async def _view(self, address: str) -> PeerView | None:
         try:
             reply: Any = await self._client.request("GET", address, "/view", None, self._timeout_s)
--- a/stileloft/protocol/rebuild_admin.py
+++ b/stileloft/protocol/rebuild_admin.py
@@ -7,7 +7,7 @@
 
 from stileloft.protocol.admin_errors import InvalidSettingsError, StaleVersionError, TemporarilyUnavailableError
 from stileloft.protocol.messages import JOB_ID
-from stileloft.protocol.peers import SNAPSHOT_PATH
+from stileloft.protocol.peers import NOTES_PATH, SNAPSHOT_PATH
 from stileloft.transport.server import Answer, Handler, retry_later
 
 STATUS_PATH = "/rebuild"
@@ -16,6 +16,7 @@
 MOST_NUMBER_DIGITS = 9
 FEATURE_OFF = Answer(404, {"error": "the feature rebuild is not enabled"})
 NO_SUCH_PIECE = Answer(404, {"error": "no such piece"})
+BAD_NOTES = Answer(400, {"error": "these are no notes of a controller"})
 NOTHING_UNDECIDED = Answer(404, {"error": "the job has no undecided tasks"})
 
 
@@ -23,6 +24,7 @@
     """What a node tells of the feature, and takes from operators."""
 
     def snapshot_piece(self, number: int) -> bytes | None: ...
+    def take_notes(self, body: Any) -> bool: ...
     def rebuild_status(self) -> dict[str, Any] | None: ...
     async def decide(self, job: str, task: int | None, decision: str) -> dict[str, Any] | None: ...
 
@@ -59,6 +61,8 @@
             return {"GET": self.status}, {}
         if path.startswith(SNAPSHOT_PATH):
             return {"GET": self.piece}, {"number": path[len(SNAPSHOT_PATH) :]}
+        if path == NOTES_PATH:
+            return {"POST": self.notes}, {}
         if path.startswith(UNDECIDED_PATH):
             return {"PUT": self.decide}, {"job": path[len(UNDECIDED_PATH) :]}
         return None
@@ -76,6 +80,10 @@
         piece = self._node.snapshot_piece(int(number))
         return NO_SUCH_PIECE if piece is None else Answer(200, {"piece": piece.decode()})
 
+    def notes(self, body: Any, _arguments: dict[str, str]) -> Answer:
+        """Takes in what another controller has just told its users."""
+        return Answer(200) if self._node.take_notes(body) else BAD_NOTES
+
     async def decide(self, body: Any, arguments: dict[str, str]) -> Answer:
         """Takes an operator's word on tasks of which a rebuild could not tell whether they completed."""
         job = arguments["job"]
--- a/stileloft/rebuild/follower.py
+++ b/stileloft/rebuild/follower.py
@@ -4,7 +4,13 @@
 from typing import TYPE_CHECKING
 
 from stileloft.bookkeeping import records
-from stileloft.protocol.state import CompactedError, StoreLostError, UnavailableError, UnknownOutcomeError
+from stileloft.protocol.state import (
+    CompactedError,
+    ConflictError,
+    StoreLostError,
+    UnavailableError,
+    UnknownOutcomeError,
+)
 from stileloft.rebuild.late_knowledge import tell_what_was_missed
 from stileloft.rebuild.protection import Phase, StoreProtection
 from stileloft.rebuild.replica import RESTORED_KEYS, RESTORED_PREFIXES, Replica
@@ -46,8 +52,8 @@
                     self._save()
             except CompactedError:
                 self._protection.replica.complete = False
-            except StoreLostError:
-                await self._node.sleep(PAUSE_S)
+            except (StoreLostError, ConflictError):
+                await self._node.sleep(PAUSE_S)  # what is told anew is being written: it is compared once more
             except (UnavailableError, UnknownOutcomeError) as error:
                 log.debug("following the store: %s", error)
                 await self._node.sleep(RETRY_S)
--- a/stileloft/rebuild/protection.py
+++ b/stileloft/rebuild/protection.py
@@ -14,6 +14,7 @@
 from stileloft.rebuild import undecided
 from stileloft.rebuild.directory import SnapshotDirectory
 from stileloft.rebuild.identity import Identity, InvalidIdentityError
+from stileloft.rebuild.notes import Notes, PeerNotes, take_in
 from stileloft.rebuild.replica import Replica
 from stileloft.rebuild.snapshot import Holder, Snapshot, to_pieces
 
@@ -72,6 +73,7 @@
         """The highest that was known when we began to rebuild: the last leader's."""
         self.led_token = self.led_generation = 0
         """The token under which we led last, and the generation of the store then."""
+        self._notes = PeerNotes(node)
         self._directory: SnapshotDirectory | None = None
         self._pieces: list[bytes] = []
         self._began_at = node.reactor.seconds()
@@ -116,7 +118,7 @@
     def saw_token(self, token: int) -> None:
         self.highest_token = max(self.highest_token, token)
 
-    def committed(self, puts: Mapping[str, Any], deletes: Iterable[str], revision: int) -> None:
+    def committed(self, puts: Mapping[str, Any], deletes: Iterable[str], revision: int, told: bool = True) -> None:
         if self.phase is not Phase.SOUND or self.identity is None:
             return
         gone = list(deletes)
@@ -127,6 +129,16 @@
                 replica.apply(key, value, revision)
             for key in gone:
                 replica.apply(key, None, revision)
+        # A leader's placements are found again by the workers' reports; what users were told is not.
+        self._notes.add(puts if told else _ends_only(puts), gone, revision)
+
+    def take_notes(self, notes: Notes) -> None:
+        """Another controller has changed the store."""
+        if self.phase is not Phase.SOUND or notes.deployment != self.deployment:
+            return
+        for replica in (self.replica, self.loading):
+            if replica is not None:
+                take_in(notes, replica)
 
     def end_of(self, _job: str) -> KnownEnd | None:
         end = self.replica.ends.get(_job)
@@ -385,3 +397,8 @@
             },
             "undecided": open_jobs,
         }
+
+
+def _ends_only(puts: Mapping[str, Any]) -> dict[str, Any]:
+    """Of the changes, those that end jobs."""
+    return {key: value for key, value in puts.items() if key.startswith(records.FINAL)}
--- a/stileloft/rebuild/rebuilder.py
+++ b/stileloft/rebuild/rebuilder.py
@@ -59,7 +59,8 @@
         self.step = Step.REPLICAS
         self._image: Image | None = None
         self._reports: dict[str, Report] = {}
-        self._awaited: set[str] = set()
+        self._found: dict[str, Snapshot] = {}
+        self._awaited = {peer.member for peer in node.settings.peers}
         """Controllers whose replicas have not come."""
         self._versions: dict[str, int] = {}
         self._stored: dict[str, Any] = {}
@@ -95,16 +96,9 @@
     async def _rebuild(self) -> None:
         if self._image is None:
             self._image = await self._gather()
-            log.info(
-                "the image has %d records and %d ends, of %s; the last leader %s among them",
-                len(self._image.records),
-                len(self._image.ends),
-                ", ".join(self._image.sources) or "nobody",
-                "is" if self._image.leader_heard else "is not",
-            )
         if not self._image.leader_heard:
             self.step = Step.REPORTS
-            await self._node.sleep(max(0.0, self._all_surely_ended_at() - self._node.reactor.seconds()))
+            self._image = await self._await_reports(self._image)
         if not self.alive:
             return
         self.step = Step.RECORDS
@@ -125,22 +119,47 @@
 
     async def _gather(self) -> Image:
         """The replicas of all controllers that answer."""
-        found: dict[str, Snapshot] = {self._node.settings.member: self._protection.snapshot()}
-        others = {peer.member: peer.address for peer in self._node.settings.peers}
+        self._found[self._node.settings.member] = self._protection.snapshot()
         until = self._node.reactor.seconds() + PEERS_LEASES * self._node.settings.deployment.workers.lease_s
         while self.alive:
-            for member in sorted(others.keys() - found.keys()):
-                snapshot = await self._read_snapshot(member, others[member])
-                if snapshot is not None:
-                    found[member] = snapshot
-            self._awaited = others.keys() - found.keys()
-            if found.keys() >= others.keys() or self._node.reactor.seconds() >= until:
+            await self._ask_awaited()
+            if not self._awaited or self._node.reactor.seconds() >= until:
                 break
             await self._node.sleep(RETRY_S)
+        return self._merge()
+
+    async def _ask_awaited(self) -> None:
+        """Asks the controllers whose replicas have not come."""
+        addresses = {peer.member: peer.address for peer in self._node.settings.peers}
+        for member in sorted(self._awaited):
+            snapshot = await self._read_snapshot(member, addresses[member])
+            if snapshot is not None:
+                self._found[member] = snapshot
+                self._awaited.discard(member)
+
+    def _merge(self) -> Image:
         identity = self._protection.identity
         if identity is None:
             raise UnavailableError("the store's identity is not known")
-        return merge(found.values(), identity.deployment, self._protection.token_at_loss, identity.token_base)
+        image = merge(self._found.values(), identity.deployment, self._protection.token_at_loss, identity.token_base)
+        log.info(
+            "the image has %d records and %d ends, of %s; the last leader %s among them",
+            len(image.records),
+            len(image.ends),
+            ", ".join(image.sources) or "nobody",
+            "is" if image.leader_heard else "is not",
+        )
+        return image
+
+    async def _await_reports(self, image: Image) -> Image:
+        """Waits until no task runs that no report tells of, unless the last leader can tell of all of them."""
+        while self.alive and not image.leader_heard and self._node.reactor.seconds() < self._all_surely_ended_at():
+            await self._node.sleep(RETRY_S)
+            heard = len(self._found)
+            await self._ask_awaited()
+            if len(self._found) > heard:
+                image = self._image = self._merge()
+        return image
 
     async def _read_snapshot(self, member: str, address: str) -> Snapshot | None:
         """A controller's replica; None if it does not answer, or what it sends can't be used."""
--- a/stileloft/rebuild/service.py
+++ b/stileloft/rebuild/service.py
@@ -1,16 +1,20 @@
 """The feature's parts in a controller: protection, replica, and the rebuild that it leads."""
 
+import logging
 from typing import TYPE_CHECKING, Any
 
 from twisted.internet import defer
 
 from stileloft.rebuild.follower import ReplicaFollower
+from stileloft.rebuild.notes import InvalidNotesError, parse_notes
 from stileloft.rebuild.protection import StoreProtection
 from stileloft.rebuild.rebuilder import Rebuilder
 
 if TYPE_CHECKING:
     from stileloft.coordination.node import Node
 
+log = logging.getLogger(__name__)
+
 
 class Rebuild:
     """What a node holds of the feature."""
@@ -20,6 +24,7 @@
         self.protection = StoreProtection(node)
         self.rebuilder: Rebuilder | None = None
         """The rebuild that this node leads now."""
+        self._refused_notes = 0
 
     def run(self) -> None:
         """Starts to look after the store."""
@@ -35,6 +40,18 @@
         self.rebuilder = None
         self._node.begin_term(token)
 
+    def take_notes(self, body: Any) -> bool:
+        """Takes in what another controller has just told its users; whether it could be read."""
+        try:
+            notes = parse_notes(body)
+        except InvalidNotesError as error:
+            self._refused_notes += 1
+            if self._refused_notes == 1:
+                log.error("notes of another controller are dropped, and later ones only counted: %s", error)
+            return False
+        self.protection.take_notes(notes)
+        return True
+
     def stop(self) -> None:
         """The leadership is over."""
         if self.rebuilder is not None:
@@ -44,4 +61,4 @@
     def status(self) -> dict[str, Any]:
         """What is known of the store, and of a rebuild that this node leads."""
         under_way = {} if self.rebuilder is None else {"rebuild": self.rebuilder.status()}
-        return self.protection.status() | under_way
+        return self.protection.status() | under_way | {"refused_notes": self._refused_notes}
--- /dev/null
+++ b/tests/measure_rebuild.py
@@ -0,0 +1,108 @@
+"""Measures what a rebuild and its replicas cost: `python3 -m tests.measure_rebuild 600 4000`.
+
+Processor time is that of this machine, times of a rebuild are simulated; it is no part of the tests.
+"""
+
+import logging
+import random
+import sys
+import time
+
+from stileloft.bookkeeping import records
+from stileloft.features import Features, RebuildFeature
+from stileloft.rebuild.ends import Ends, JobEnd
+from stileloft.rebuild.replica import Replica
+from stileloft.rebuild.snapshot import to_pieces
+from tests.simulation.fleet import FleetWorld
+
+ON = Features(rebuild=RebuildFeature(enabled=True))
+ENDED_JOBS = 20_000
+
+
+class RebuiltLines(logging.Handler):
+    """Keeps what rebuilds say of themselves."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.lines: list[str] = []
+
+    def emit(self, record: logging.LogRecord) -> None:
+        text = record.getMessage()
+        if text.startswith("rebuilt in"):
+            self.lines.append(text)
+
+
+class Applied:
+    """Processor time of the changes that replicas take in."""
+
+    def __init__(self) -> None:
+        self.calls, self.total_s = 0, 0.0
+        plain = Replica.apply
+
+        def timed(replica: Replica, *arguments: object) -> None:
+            began = time.process_time()
+            plain(replica, *arguments)  # type: ignore[arg-type]
+            self.total_s += time.process_time() - began
+            self.calls += 1
+
+        Replica.apply = timed  # type: ignore[method-assign]
+
+
+def measure_fleet(machines: int, applied: Applied, lines: RebuiltLines) -> None:
+    world = FleetWorld(1, machines, features=ON)
+    world.submit_batch(12.0)
+    world.run(12)
+    applied.calls, applied.total_s = 0, 0.0
+    world.run(14)
+    tasks = sum(len(machine.tasks) for machine in world.every_machine.values())
+    protection = world.nodes[world.leader()].rebuild.protection
+    pieces = to_pieces(protection.snapshot())
+    held = sum(len(record.data) for record in protection.replica.records.values())
+    print(f"{machines} machines, {tasks} tasks on them, {len(world.jobs)} jobs")
+    print(f"  a snapshot: {len(pieces)} pieces, {sum(map(len, pieces))} bytes; its records {held} bytes")
+    print(f"  replicas: {applied.calls} changes in 14 s on three nodes, {1000 * applied.total_s:.1f} ms in all")
+    starts, wiped_at = world.rules.starts, world.now
+    world.state.wipe()
+    lines.lines.clear()
+    first_s = None
+    while not lines.lines or first_s is None:
+        world.run(0.05)
+        if first_s is None and world.rules.starts > starts + 5:
+            first_s = world.now - wiped_at
+        if world.now > wiped_at + 60:
+            break
+    print(f"  after the loss: {lines.lines}; tasks began again after {first_s} s (simulated)")
+
+
+def measure_ends() -> None:
+    """Bitmaps beside ranges, for job numbers in no order."""
+    numbers = random.Random(1).sample(range(1_000_000), ENDED_JOBS)
+    began = time.process_time()
+    ends = Ends()
+    for number in numbers:
+        ends.add(f"j-{number:06d}", JobEnd("done", 1 + number % 40))
+    added_s = time.process_time() - began
+    began = time.process_time()
+    values = ends.to_records(16 * 1024)
+    encoded_s = time.process_time() - began
+    began = time.process_time()
+    ranges = records.to_ranges(set(numbers))
+    ranges_s = time.process_time() - began
+    size = sum(map(records.size_of, values))
+    print(f"{ENDED_JOBS} ends of forty kinds: bitmaps {size} bytes in {len(values)} records, ", end="")
+    print(f"added in {1000 * added_s:.0f} ms, encoded in {1000 * encoded_s:.0f} ms; ", end="")
+    print(f"ranges of the numbers alone {records.size_of(ranges)} bytes, {1000 * ranges_s:.0f} ms")
+
+
+def main() -> None:
+    lines = RebuiltLines()
+    logging.getLogger().addHandler(lines)
+    logging.getLogger().setLevel(logging.INFO)
+    measure_ends()
+    applied = Applied()
+    for machines in [int(text) for text in sys.argv[1:]] or [600, 4000]:
+        measure_fleet(machines, applied, lines)
+
+
+if __name__ == "__main__":
+    main()
--- a/tests/simulation/clients.py
+++ b/tests/simulation/clients.py
@@ -8,15 +8,17 @@
 from twisted.internet import defer
 
 from stileloft.protocol import messages
-from stileloft.protocol.peers import SNAPSHOT_PATH
+from stileloft.protocol.peers import NOTES_PATH, SNAPSHOT_PATH
 from stileloft.transport.client import ConnectionFailedError, NoResponseError, Reply
 
 if TYPE_CHECKING:
     from tests.simulation.world import World
 
 
-def ask_peer(peer: Any, path: str) -> Reply:
+def ask_peer(peer: Any, path: str, sent: Any) -> Reply:
     """What a node answers another one."""
+    if path == NOTES_PATH:
+        return Reply(200 if peer.take_notes(sent) else 400, None)
     if path.startswith(SNAPSHOT_PATH):
         piece = peer.snapshot_piece(int(path[len(SNAPSHOT_PATH) :]))
         return Reply(404, None) if piece is None else Reply(200, {"piece": piece.decode()})
@@ -56,7 +58,7 @@
                 peer = world.nodes[target]
                 if peer is None or world.now < world.peers_refuse:
                     raise ConnectionFailedError("no process, or a filter")
-                return world.to_node(target, lambda: ask_peer(peer, path))
+                return world.to_node(target, lambda: ask_peer(peer, path, sent))
             machine = world.every_machine[target]
             if machine.gone or not machine.up:
                 raise NoResponseError("silence")
--- a/tests/simulation/fleet.py
+++ b/tests/simulation/fleet.py
@@ -1,6 +1,7 @@
 """A deployment of thousands of machines, whose nodes have far fewer sockets than there are machines."""
 
 from stileloft.bookkeeping import records
+from stileloft.features import Features
 from tests.simulation.deployment import TYPES
 from tests.simulation.world import World
 
@@ -14,9 +15,9 @@
     LAPSE_S = 2.0
     SOCKETS = 600
 
-    def __init__(self, seed: int, machines: int, booted: bool = True) -> None:
+    def __init__(self, seed: int, machines: int, booted: bool = True, features: Features | None = None) -> None:
         """`booted`: whether the machines are up; else they are only to be found in the cloud's list."""
-        super().__init__(seed, capacity=machines, loss=0.0)
+        super().__init__(seed, capacity=machines, loss=0.0, features=features)
         self.most_sockets = self.SOCKETS
         self.cloud.most = 2 * machines
         # Operators who keep idle machines, or all of them would be returned before there is work.
