--- a/tests/test_rebuild_parts.py
+++ b/tests/test_rebuild_parts.py
@@ -17,6 +17,7 @@
 from stileloft.rebuild.directory import SnapshotDirectory
 from stileloft.rebuild.ends import Ends, InvalidEndsError, JobEnd
 from stileloft.rebuild.merge import Image, merge
+from stileloft.rebuild.notes import InvalidNotesError, parse_notes, take_in
 from stileloft.rebuild.reconstruction import ATTEMPT_MARGIN, Evidence, Reconstruction, reconstruct
 from stileloft.rebuild.replica import Replica
 from stileloft.rebuild.snapshot import Holder, InvalidSnapshotError, Snapshot, from_pieces, read_piece, to_pieces
@@ -59,6 +60,31 @@
     assert set(replica.records) == {"active/j-1"} and replica.ends.get("j-2") == JobEnd("done", 3)
 
 
+def test_notes_of_another_store_change_nothing() -> None:
+    replica = replica_of({"active/j-1": ({"c": 1}, 5)}, 6, generation=2)
+    changes = [["active/j-1", None, 9], ["final/j-1", {"phase": "cancelled", "n": 0}, 9]]
+    take_in(parse_notes({"deployment": DEPLOYMENT, "generation": 1, "changes": changes}), replica)
+    assert "active/j-1" in replica.records and not len(replica.ends)
+    take_in(parse_notes({"deployment": DEPLOYMENT, "generation": 2, "changes": changes}), replica)
+    assert not replica.records and replica.ends.get("j-1") == JobEnd("cancelled", 0)
+
+
+@pytest.mark.parametrize(
+    "changes",
+    [
+        None,
+        [["tasks/j-1/0", {}, 1]],
+        [["active/j-1", "text", 1]],
+        [["active/j-1", {}, "1"]],
+        [["active/j-1", {}]],
+        [["active/j-1", {}, 1]] * 501,
+    ],
+)
+def test_bad_notes_are_refused(changes: Any) -> None:
+    with pytest.raises(InvalidNotesError):
+        parse_notes({"deployment": DEPLOYMENT, "generation": 1, "changes": changes})
+
+
 # -- ends ----------------------------------------------------------------------------------------------------------
 
 JOBS = st.integers(1, 30).flatmap(lambda digits: st.text("0123456789", min_size=digits, max_size=digits))
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -1,15 +1,18 @@
 """Whole days on the stand-ins: whatever fails, no rule is broken and the work is done."""
 
 from collections.abc import Callable
+from typing import Any
 
 import pytest
 
+from stileloft.bookkeeping.model import Job
 from stileloft.coordination.admission import Admission, RetryLaterError
 from stileloft.coordination.fleet import Fleet
 from stileloft.coordination.node import blind_grace
 from stileloft.coordination.snapshot_builder import SnapshotBuilder
 from stileloft.protocol import messages
 from stileloft.settings import Workers
+from stileloft.transport.client import Reply
 from tests.simulation.world import World
 
 
@@ -495,3 +498,57 @@
     world.clock.callLater(35.0, hang(10.0), world)
     finish(world, 120)
     assert any("ran_twice" in line for line in world.rules.broken)
+
+
+def test_the_leader_hears_of_cancellations_after_a_failed_attempt_to_read_all_jobs() -> None:
+    """Its watch was too old, and reading all jobs anew was refused: it used to end for good."""
+    world = World(seed=23, loss=0.0)
+    world.submit(world.job(1, guessS=100.0))
+    world.run(30)
+    name = world.leader()
+    watch = world.nodes[name].term.watch
+    world.state.compacted = world.state.revision + 1
+    handle, until = world.state.handle, world.now + 1.0
+
+    def refusing(caller: str, method: str, path: str, body: Any) -> Any:
+        if path.startswith("/kv?under=active/") and world.now < until:
+            return Reply(503, {"error": "trouble"})
+        return handle(caller, method, path, body)
+
+    world.state.handle = refusing  # type: ignore[method-assign]
+    world.clock.callLater(1.5, setattr, world.state, "compacted", 0)
+    world.run(5)
+    assert world.leader() == name and watch.staleness_s() < 2.0
+    world.cancel("j-000001")
+    world.run(8)
+    assert not world.rules.where and world.rules.broken == []
+
+
+class StrictLock:
+    """A lock that objects where a real one would wait for itself for ever."""
+
+    def __init__(self) -> None:
+        self.held = False
+
+    def __enter__(self) -> None:
+        assert not self.held, "the lock is taken by its own holder"
+        self.held = True
+
+    def __exit__(self, *_: object) -> None:
+        self.held = False
+
+
+def test_a_job_that_is_over_before_anything_of_it_was_stored_is_let_go() -> None:
+    """Nothing is to be written of it, so that its end follows at once, while the ledger still holds the lock."""
+    world = World(seed=24, loss=0.0)
+    world.run(12)
+    term = world.nodes[world.leader()].term
+    term.lock = StrictLock()
+    job = Job(messages.parse_job(world.job(7)), world.now, 24)
+    job.over = "cancelled"
+    job.chunk_of(0).dirty = True
+    term.jobs[job.id] = job
+    term.cluster.mark_dirty(job)
+    term.ledger.flush()
+    world.run(1)
+    assert job.id not in term.jobs
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -15,6 +15,7 @@
 from stileloft.protocol import messages
 from stileloft.protocol.admin import OperatorSettings, parse_operator_settings
 from stileloft.protocol.admin_errors import InvalidSettingsError, StaleVersionError
+from stileloft.protocol.rebuild_admin import RebuildResources
 from stileloft.protocol.state import Budget
 from stileloft.protocol.users import REPORT_PATH, PublicResources
 from stileloft.settings import SettingsError, parse
@@ -72,6 +73,75 @@
     assert ended.value.code == 2
 
 
+def test_the_features_file_is_checked_with_the_settings(tmp_path, text: str, capsys: pytest.CaptureFixture) -> None:
+    settings, good, bad = tmp_path / "settings.toml", tmp_path / "good.toml", tmp_path / "bad.toml"
+    settings.write_text(text)
+    good.write_text("[rebuild]\nenabled = true\n")
+    bad.write_text("[rebuild]\nfollow_s = 0.0\n")
+    assert cli.main(["--features", str(good), "check-config", str(settings)]) == 0
+    assert cli.main(["--features", str(bad), "check-config", str(settings)]) == 2
+    assert cli.main(["--features", str(bad), "--config", str(settings)]) == 2
+    assert cli.main(["--features", str(tmp_path / "none.toml"), "--config", str(settings)]) == 2
+    lines = capsys.readouterr().err.splitlines()
+    assert len(lines) == 3 and "rebuild.follow_s" in lines[0] and "cannot be read" in lines[2]
+
+
+class StubNode:
+    """Answers the administration API's questions about a rebuild."""
+
+    enabled = True
+
+    def rebuild_status(self) -> dict | None:
+        return {"phase": "sound"} if self.enabled else None
+
+    def snapshot_piece(self, number: int) -> bytes | None:
+        return b"piece" if number == 0 else None
+
+    def take_notes(self, body: object) -> bool:
+        return body == "notes"
+
+    async def decide(self, job: str, task: int | None, decision: str) -> dict | None:
+        if decision != "run":
+            raise InvalidSettingsError("decision: unknown")
+        return {"task": task} if job == "j-1" else None
+
+
+@pytest.mark.parametrize(
+    ("method", "path", "body", "status"),
+    [
+        ("GET", "/rebuild", None, 200),
+        ("GET", "/rebuild/snapshot/0", None, 200),
+        ("GET", "/rebuild/snapshot/1", None, 404),
+        ("GET", "/rebuild/snapshot/-1", None, 404),
+        ("GET", "/rebuild/snapshot/9999999999", None, 404),
+        ("POST", "/rebuild/notes", "notes", 200),
+        ("POST", "/rebuild/notes", {"changes": 3}, 400),
+        ("PUT", "/rebuild/undecided/j-1", {"decision": "run", "task": 3}, 200),
+        ("PUT", "/rebuild/undecided/j-1", {"decision": "run"}, 200),
+        ("PUT", "/rebuild/undecided/j-2", {"decision": "run"}, 404),
+        ("PUT", "/rebuild/undecided/nobody", {"decision": "run"}, 404),
+        ("PUT", "/rebuild/undecided/j-1", {"decision": "perhaps"}, 400),
+        ("PUT", "/rebuild/undecided/j-1", {"decision": "run", "task": -1}, 400),
+        ("PUT", "/rebuild/undecided/j-1", {"decision": "run", "task": True}, 400),
+        ("PUT", "/rebuild/undecided/j-1", [], 400),
+    ],
+)
+def test_requests_about_a_rebuild(method: str, path: str, body: object, status: int) -> None:
+    handlers, arguments = RebuildResources(StubNode()).match(path)
+    answer = handlers[method](body, arguments)
+    if not isinstance(answer, Answer):
+        answer = defer.ensureDeferred(answer).result
+    assert answer.status == status
+    assert status == 200 or answer.body["error"]
+
+
+def test_without_the_feature_there_is_no_rebuild_to_ask_about() -> None:
+    node = StubNode()
+    node.enabled = False
+    handlers, arguments = RebuildResources(node).match("/rebuild")
+    assert handlers["GET"](None, arguments).status == 404
+
+
 def test_operator_settings_are_checked() -> None:
     assert parse_operator_settings({"headroom": 0.5}) == OperatorSettings(headroom=0.5)
     for wrong in ({"headrom": 1}, {"headroom": -1}, {"headroom": float("nan")}, {"max_machines": 1.5}, None, []):
