--- a/stileloft/coordination/dispatch.py
+++ b/stileloft/coordination/dispatch.py
@@ -157,7 +157,7 @@
             job = self.term.jobs.get(placement.job)
             if job is not None and task.state in (WAITING, RUNNING):
                 # One that waits for the others of its gang has its image too, but has not begun.
-                self.term.fleet.has_image(machine, job.spec.image)
+                self.term.fleet.images.seen(machine, job.spec.image)
             if task.state == RUNNING:
                 self._take_running(placement, job, now)
 
--- a/stileloft/coordination/fleet.py
+++ b/stileloft/coordination/fleet.py
@@ -8,6 +8,7 @@
 from stileloft.bookkeeping import records
 from stileloft.bookkeeping.model import BOUND, Machine, Placement
 from stileloft.coordination.election import DRIFT
+from stileloft.coordination.image_records import ImageRecords
 from stileloft.coordination.scaling import Offer, Plan
 from stileloft.protocol.cloud import RELEASE_LIMIT, RENT_LIMIT, CloudError, NoCapacityError
 from stileloft.protocol.messages import ListedMachine
@@ -51,12 +52,6 @@
 # may take: rentals and returns need the rest.
 PAGES_AT_ONCE = 2
 LIST_PART = 0.5
-# How often it is recorded where images are; more often when the machines would else take more than so many rounds,
-# and how many a machine is believed to have.
-IMAGES_S = 4.0
-IMAGES_ROUNDS = 64
-IMAGES_LEAST_S = 0.5
-IMAGES_KNOWN = 40
 
 
 class Fleet:
@@ -85,8 +80,7 @@
         self._serial = 0
         self._asking = False
         self._not_deaf_until = 0.0
-        self._images_waiting: dict[str, list[str]] = {}
-        self._images_dropped: set[str] = set()
+        self.images = ImageRecords(term)
 
     # -- the cloud's list -------------------------------------------------------
 
@@ -338,8 +332,7 @@
         for placement in list(machine.placements.values()):
             term.tasks.end(placement, "its machine is gone")
         term.machines.pop(machine.id, None)
-        if machine.images:
-            self._images_dropped.add(machine.id)
+        self.images.machine_gone(machine)
 
     # -- renting ------------------------------------------------------------------
 
@@ -429,65 +422,7 @@
         except (ConflictError, UnavailableError, UnknownOutcomeError) as error:
             log.debug("recording a rental: %s", error)
 
-    # -- images ---------------------------------------------------------------------
-
-    def has_image(self, machine: Machine, image: str) -> None:
-        """A task that needs this image runs there."""
-        if image not in machine.images:
-            machine.images_stored = False
-            machine.view = None
-        machine.images.pop(image, None)
-        machine.images[image] = None
-        while len(machine.images) > IMAGES_KNOWN:
-            del machine.images[next(iter(machine.images))]
-
-    def load_images(self, machine_id: str, images: list[str]) -> None:
-        machine = self.term.machines.get(machine_id)
-        if machine is None:
-            self._images_waiting[machine_id] = images
-        else:
-            machine.images = dict.fromkeys([*images, *machine.images])
-
-    def images_of(self, machine_id: str) -> list[str]:
-        """What a former leader recorded of a machine that is new to us."""
-        return self._images_waiting.pop(machine_id, [])
-
-    async def images_loop(self) -> None:
-        """Records where images are, for a successor; what is left of the write budget will do."""
-        term = self.term
-        pause_s = IMAGES_S
-        while term.alive:
-            await term.sleep(pause_s)
-            if not term.confirmed():
-                continue
-            half = max(1, term.limits.ops // 2)
-            unrecorded = [m for m in term.machines.values() if not m.images_stored]
-            rounds = len(unrecorded) / half
-            pause_s = max(IMAGES_LEAST_S, IMAGES_S * min(1.0, IMAGES_ROUNDS / max(rounds, 1.0)))
-            changed = unrecorded[:half]
-            dropped = sorted(self._images_dropped)[:half]
-            count = len(changed) + len(dropped)
-            if not count or term.writes.level() < 2 * count or not term.writes.take(count):
-                continue
-            puts = {records.IMAGES + m.id: self._recorded_images(m) for m in changed}
-            try:
-                await term.state.commit(term.leader_guard(), puts, [records.IMAGES + m for m in dropped])
-            except TooLargeError:
-                term.limits.refused(puts.values(), count)
-                continue
-            except (ConflictError, UnavailableError, UnknownOutcomeError) as error:
-                log.debug("recording images: %s", error)
-                continue
-            for machine in changed:
-                machine.images_stored = puts[records.IMAGES + machine.id] == self._recorded_images(machine)
-            self._images_dropped -= set(dropped)
-
-    def _recorded_images(self, machine: Machine) -> list[str]:
-        """The images that a machine has, the ones used last, as far as a value holds them."""
-        images = list(machine.images)
-        while records.size_of(images) > self.term.limits.value_bytes:
-            images = images[1 + len(images) // 8 :]
-        return images
+    # -- what a former leader rented ------------------------------------------------
 
     def load_rental(self, key: str, value: dict[str, Any]) -> None:
         """Takes in what a former leader rented, unless the cloud's list shows it by now."""
--- a/stileloft/coordination/leader.py
+++ b/stileloft/coordination/leader.py
@@ -140,7 +140,7 @@
             self.clock.seconds() - self.started_at,
         )
         defer.ensureDeferred(self.watch.run())
-        defer.ensureDeferred(self.fleet.images_loop())
+        defer.ensureDeferred(self.fleet.images.run())
         defer.ensureDeferred(self.upgrade.run())
         if self.node.integrity.can_be_lost:
             defer.ensureDeferred(decisions.carry_out(self))
@@ -176,7 +176,7 @@
         machine = self.machines.get(machine_id)
         if machine is None:
             machine = Machine(machine_id, first_seen=self.clock.seconds())
-            machine.images = dict.fromkeys(self.fleet.images_of(machine_id))
+            machine.images = dict.fromkeys(self.fleet.images.of_former_leader(machine_id))
             self.machines[machine_id] = machine
         return machine
 
--- a/stileloft/coordination/node.py
+++ b/stileloft/coordination/node.py
@@ -17,6 +17,7 @@
 from stileloft.coordination.fleet import MARGIN_LEASES
 from stileloft.coordination.integrity import StoreIntegrity
 from stileloft.coordination.leader import Term
+from stileloft.coordination.service_check import ServiceCheck
 from stileloft.features import Features
 from stileloft.protocol import messages
 from stileloft.protocol.admin import AdminResources, OperatorSettings, parse_operator_settings
@@ -51,7 +52,6 @@
 CLOUD_TIMEOUT_S = 5.0
 SETTINGS_WATCH_S = 30.0
 PEER_TIMEOUT_S = 1.0
-SERVED_S = 2.0
 # Machines count as seen by a node for this many report intervals.
 VIEW_REPORTS = 4.0
 # For so many of the workers' leases it is known which report of a machine was the newest, so that a late
@@ -76,8 +76,6 @@
 GRACE_LEASES = 3.0
 # A new leader claims machines before their workers have come to it: for so long, in the workers' leases.
 CLAIMING_LEASES = 0.5
-# A node that neither the state service nor any peer answers for so long sends users elsewhere.
-ALONE_S = 3 * SERVED_S
 
 
 class Node:
@@ -117,8 +115,7 @@
             reactor, orjson.dumps, orjson.loads, b"application/json", per_host=1, connect_s=PEER_TIMEOUT_S, idle_s=60.0
         )
         self.peers = PeerClient(peers, [peer.address for peer in settings.peers], PEER_TIMEOUT_S)
-        self.refused = False
-        """The state service serves other nodes, but not this one."""
+        self.service_check = ServiceCheck(reactor, self.state, self.peers)
         self.cloud = CloudClient(
             wire, settings.external.cloud, CLOUD_TIMEOUT_S, Budget(reactor, deployment.cloud.rps * CLOUD_PART)
         )
@@ -171,7 +168,7 @@
         defer.ensureDeferred(self._catalog_loop())
         defer.ensureDeferred(self._settings_loop())
         defer.ensureDeferred(self._format_loop())
-        defer.ensureDeferred(self._served_loop())
+        defer.ensureDeferred(self.service_check.run())
         defer.ensureDeferred(self.election.run())
         if self.rebuild is not None:
             self.rebuild.run()
@@ -252,39 +249,6 @@
             if self.term is not None:
                 self.term.upgrade.format_changed()
 
-    def served(self) -> bool:
-        """Whether the state service has executed a request of ours lately."""
-        now: float = self.reactor.seconds()
-        return now - self.state.served_at < SERVED_S
-
-    async def _served_loop(self) -> None:
-        """Finds out whether the state service serves the others and not us.
-
-        Users are then better off elsewhere. In an outage for all they are not: a node that was
-        called unhealthy gets no users for some seconds more.
-        """
-        failing_since: float | None = None
-        while True:
-            await self.sleep(SERVED_S / 2)
-            try:
-                if not self.served():
-                    await self.state.get(records.LEADER)
-                self.refused, failing_since = False, None
-            except (UnavailableError, UnknownOutcomeError):
-                now = self.reactor.seconds()
-                failing_since = now if failing_since is None else failing_since
-                views = await self.peers.views()
-                # Being served before our own failures began says nothing: the outage may be for all.
-                refused = any(view.served_ago_s < now - failing_since for view in views)
-                if refused and not self.refused:
-                    log.info("the state service serves other nodes but not this one")
-                if not views and self.settings.peers and now - failing_since > ALONE_S:
-                    # Cut off, rather than in an outage: others can serve our users.
-                    refused = True
-                self.refused = refused
-            except Exception:
-                log.exception("asking the state service")
-
     def sleep(self, seconds: float) -> defer.Deferred[None]:
         done: defer.Deferred[None] = defer.Deferred()
         self.reactor.callLater(seconds, done.callback, None)
@@ -294,7 +258,7 @@
         return threads.deferToThread(function, *arguments)
 
     def healthy(self) -> bool:
-        return bool(self.types) and not self.refused
+        return bool(self.types) and not self.service_check.refused
 
     def keep_request(self, path: str) -> bool:
         """Whether a connection on which something was asked here is kept once that is answered."""
@@ -378,7 +342,7 @@
             "role": "leader" if self.election.leading else "standby",
             "leader": self.election.leader,
             "token": self.election.token,
-            "served": self.served(),
+            "served": self.service_check.served(),
             "confirmed": self.election.confirmed(),
             "machine_types": sorted(self.types),
             "settings": msgspec.to_builtins(self.operator_settings),
--- a/stileloft/coordination/recovery.py
+++ b/stileloft/coordination/recovery.py
@@ -33,7 +33,7 @@
         for key, value, _ in rented:
             term.fleet.load_rental(key, value)
         for key, value, _ in images:
-            term.fleet.load_images(key[len(records.IMAGES) :], value)
+            term.fleet.images.load(key[len(records.IMAGES) :], value)
         term.watch.revision = revision
         term.watch.informed_at = asked_at
 
--- a/stileloft/protocol/peers.py
+++ b/stileloft/protocol/peers.py
@@ -36,12 +36,12 @@
 class PeerClient:
     def __init__(self, client: Client, addresses: list[str], timeout_s: float) -> None:
         self._client = client
-        self._addresses = addresses
+        self.addresses = addresses
         self._timeout_s = timeout_s
 
     async def views(self) -> list[PeerView]:
         """What those of the others that answer see."""
-        asked = [defer.ensureDeferred(self._view(address)) for address in self._addresses]
+        asked = [defer.ensureDeferred(self._view(address)) for address in self.addresses]
         return [view for view in [await one for one in asked] if view is not None]
 
     async def snapshot_piece(self, address: str, number: int) -> bytes | None:
--- a/tests/loopback_cluster.py
+++ b/tests/loopback_cluster.py
@@ -38,6 +38,7 @@
 LOCAL = "127.0.0.1"
 POLL_S = 0.5
 CANCEL_AFTER_S = 1.5
+FOLLOWED = "the replica holds"
 REBUILT = re.compile(r"rebuilt in ([0-9.]+) s and ([0-9]+) transactions")
 
 
@@ -261,7 +262,17 @@
 
     # -- the batch -------------------------------------------------------------------------
 
+    def is_protected(self) -> bool:
+        """Whether every controller follows the store: only then can its loss be made good."""
+        logs = [(self.folder / f"{name}.log").read_text(errors="replace") for name in self.names]
+        return self.options.without or all(FOLLOWED in text for text in logs)
+
     def begin(self) -> None:
+        """Starts the batch once the controllers are ready, however long they take to start."""
+        if not self.is_protected() and self.now < self.options.longest_s:
+            self.clock.callLater(0.2, self.begin)
+            return
+        self._began = reactor.seconds()
         options = self.options
         for number in range(options.jobs):
             body = self.job(
--- a/tests/measure_rebuild.py
+++ b/tests/measure_rebuild.py
@@ -17,6 +17,7 @@
 
 ON = Features(rebuild=RebuildFeature(enabled=True))
 ENDED_JOBS = 20_000
+LONGEST_S = 60.0
 
 
 class RebuiltLines(logging.Handler):
@@ -61,17 +62,16 @@
     print(f"{machines} machines, {tasks} tasks on them, {len(world.jobs)} jobs")
     print(f"  a snapshot: {len(pieces)} pieces, {sum(map(len, pieces))} bytes; its records {held} bytes")
     print(f"  replicas: {applied.calls} changes in 14 s on three nodes, {1000 * applied.total_s:.1f} ms in all")
-    starts, wiped_at = world.rules.starts, world.now
-    world.state.wipe()
+    wiped_at = world.now
     lines.lines.clear()
-    first_s = None
-    while not lines.lines or first_s is None:
+    world.state.wipe()
+    while not lines.lines and world.now < wiped_at + LONGEST_S:
+        world.run(0.05)
+    rebuilt_s, starts = world.now - wiped_at, world.rules.starts
+    while world.rules.starts == starts and world.now < wiped_at + LONGEST_S:
         world.run(0.05)
-        if first_s is None and world.rules.starts > starts + 5:
-            first_s = world.now - wiped_at
-        if world.now > wiped_at + 60:
-            break
-    print(f"  after the loss: {lines.lines}; tasks began again after {first_s} s (simulated)")
+    print(f"  {lines.lines[0] if lines.lines else 'not rebuilt'}")
+    print(f"  simulated: all records after {rebuilt_s:.1f} s, the next start after {world.now - wiped_at:.1f} s")
 
 
 def measure_ends() -> None:
