--- a/tests/test_rebuild.py
+++ b/tests/test_rebuild.py
@@ -213,6 +213,22 @@
     finish(world)
 
 
+@pytest.mark.parametrize("loss", [wiped, leader_lost_with_it, zone_cut])
+def test_a_standing_service_goes_on_until_it_is_cancelled(loss: Loss) -> None:
+    world = World(14, features=ON)
+    service = world.job(1, shape="standing", pieces=3, vcpus=1.0, guessS=5000.0, crew="edge")
+    world.submit(service)
+    world.run(30.0)
+    assert len(world.rules.where) == 3
+    loss(world)
+    world.run(70.0)
+    assert len(world.rules.where) == 3 and world.rules.broken == []
+    world.cancel(service["nameId"])
+    world.run(10.0)
+    world.rules.check_cancelled()
+    assert not world.rules.where and world.rules.last[service["nameId"]] == "aborted" and world.rules.broken == []
+
+
 # -- what can't be told ----------------------------------------------------------------------------------------------
 
 ONCE = Features(rebuild=RebuildFeature(enabled=True, run_once_classes=["once"]))
--- a/tests/test_rebuild_parts.py
+++ b/tests/test_rebuild_parts.py
@@ -323,6 +323,55 @@
     assert not result.puts.keys() & {records.active_key(job.id)} and not list(result.new_ends.items())
 
 
+MACHINES = st.sampled_from(["n-1", "n-2", "n-3", "n-4"])
+REPORTED = st.tuples(
+    st.integers(0, 7), st.integers(1, 6), st.sampled_from(["fetching", "running", "saving", "done", "stopped"])
+)
+
+
+def reported_task(index: int, attempt: int, what: str) -> TaskReport:
+    exited = what in ("done", "stopped")
+    return TaskReport(f"j-000001/{index}", attempt, "exited" if exited else what, what if exited else None)
+
+
+def plain_place(index: int, reports: list[Report]) -> list[Any] | None:
+    """Where a task is, by a plain search: where it completed, else where it is, else where it ended last."""
+    name = f"j-000001/{index}"
+    listed = [(r, task) for r in reports for task in r.tasks if task.task == name]
+    for wanted in (
+        [(r, task) for r, task in listed if task.why == "done"],
+        [(r, task) for r, task in listed if task.state != "exited"],
+        listed,
+    ):
+        if wanted:
+            newest = max(task.attempt for _, task in wanted)
+            found, task = next((r, task) for r, task in wanted if task.attempt == newest)
+            return [task.attempt, found.machine, found.zone, 1]
+    return None
+
+
+@given(
+    st.dictionaries(st.integers(0, 7), st.tuples(st.integers(1, 6), MACHINES)),
+    st.sets(st.integers(0, 7)),
+    st.dictionaries(MACHINES, st.lists(REPORTED, max_size=6, unique_by=lambda task: task[0])),
+)
+def test_tasks_are_where_a_plain_search_of_the_reports_finds_them(
+    placed: dict[int, tuple[int, str]], done: set[int], reported: dict[str, list[tuple[int, int, str]]]
+) -> None:
+    """And what is written for it needs nothing more to be written."""
+    job = spec(1, pieces=8)
+    reports = [report(machine, *(reported_task(*task) for task in tasks)) for machine, tasks in reported.items()]
+    placements = {str(i): [a, m, "a", 1] for i, (a, m) in placed.items() if i not in done}
+    image = Image(job_records(job, placements, records.to_ranges(done)))
+    result = rebuilt(image, reports)
+    chunk = result.puts[records.chunk_key(job.id, 0)]
+    expected = {str(i): plain_place(i, reports) for i in range(8) if i not in done}
+    assert chunk["p"] == {text: place for text, place in expected.items() if place is not None}
+    assert chunk["a"] > max([p[0] for p in (*placements.values(), *chunk["p"].values())], default=0)
+    again = rebuilt(image, reports, present=dict(result.puts))
+    assert not again.puts and not again.deletes
+
+
 # -- undecided tasks -----------------------------------------------------------------------------------------------
 
 
