Rebuild: one type for a job's end, one look at a key with its revision, one way to change test settings

Need, from reading the change once more: how a job ended was a type of its own in two modules, and its record was made by hand beside `final_record`; a key was looked up with the store's revision in three places; machines that were not heard were searched for again for each job that runs once; a step that nobody could see, and a status that nobody asked for, were left over; three worlds of the tests each replaced settings in a loop, one without checking that they are there. Change: JobEnd stands beside final_record; StateClient.lookup_at; the search is made once; with_settings. Behaviour is unchanged.

--- a/stileloft/bookkeeping/records.py
+++ b/stileloft/bookkeeping/records.py
@@ -28,7 +28,7 @@
 """
 
 import json
-from typing import Any
+from typing import Any, NamedTuple
 
 LEADER = "leader"
 SETTINGS = "settings"
@@ -145,5 +145,13 @@
     return {number for low, high in ranges for number in range(low, high)}
 
 
+class JobEnd(NamedTuple):
+    """How a job ended."""
+
+    phase: str
+    tasks: int
+    """Its tasks that were done, for display."""
+
+
 def final_record(phase: str, tasks: int) -> dict[str, Any]:
     return {"phase": phase, "n": tasks if phase == "done" else 0}
--- a/stileloft/coordination/integrity.py
+++ b/stileloft/coordination/integrity.py
@@ -4,14 +4,9 @@
 """
 
 from collections.abc import Iterable, Mapping
-from typing import Any, NamedTuple
+from typing import Any
 
-
-class KnownEnd(NamedTuple):
-    """How a job ended, as far as it is known here."""
-
-    phase: str
-    tasks: int
+from stileloft.bookkeeping.records import JobEnd
 
 
 class StoreIntegrity:
@@ -59,14 +54,10 @@
     def committed(self, puts: Mapping[str, Any], deletes: Iterable[str], revision: int, told: bool = True) -> None:
         """This controller has changed the store; `told`: users hear of all of it, rather than of jobs' ends only."""
 
-    def end_of(self, _job: str) -> KnownEnd | None:
+    def end_of(self, _job: str) -> JobEnd | None:
         """How a job ended of which the store has no record of its own."""
         return None
 
     def is_unknown_job(self, _job: str) -> bool:
         """Whether a job is known by workers' reports alone."""
         return False
-
-    def status(self) -> dict[str, Any]:
-        """What the administration API shows; nothing if nobody looks."""
-        return {}
--- a/stileloft/protocol/state.py
+++ b/stileloft/protocol/state.py
@@ -148,8 +148,12 @@
         if self.on_regress is None:
             found = await self.get(key)
             return None if found is None else found[:2]
-        items, _ = await self.first_items(key, 1)
-        return items[0][1:] if items and items[0][0] == key else None
+        return (await self.lookup_at(key))[0]
+
+    async def lookup_at(self, key: str) -> tuple[tuple[Any, int] | None, int]:
+        """Value and version of a key, or None, and the store's revision at that moment."""
+        items, revision = await self.first_items(key, 1)
+        return (items[0][1:] if items and items[0][0] == key else None), revision
 
     async def first_items(self, prefix: str, limit: int) -> tuple[list[Item], int]:
         """The first items under a prefix, and the revision."""
--- a/stileloft/rebuild/ends.py
+++ b/stileloft/rebuild/ends.py
@@ -11,6 +11,7 @@
 from pyroaring import BitMap64
 
 from stileloft.bookkeeping import records
+from stileloft.bookkeeping.records import JobEnd
 
 # Numbers of more digits do not fit into 64 bits.
 MOST_DIGITS = 18
@@ -23,14 +24,6 @@
     """Ends that cannot be read."""
 
 
-class JobEnd(NamedTuple):
-    """How a job ended."""
-
-    phase: str
-    tasks: int
-    """Its tasks that were done, for display."""
-
-
 class _Group(NamedTuple):
     """Jobs that ended alike and whose numbers are written with the same count of digits."""
 
--- a/stileloft/rebuild/late_knowledge.py
+++ b/stileloft/rebuild/late_knowledge.py
@@ -5,8 +5,8 @@
 from typing import TYPE_CHECKING, Any
 
 from stileloft.bookkeeping import records
+from stileloft.bookkeeping.records import JobEnd
 from stileloft.protocol.state import ConflictError
-from stileloft.rebuild.ends import JobEnd
 from stileloft.rebuild.reconstruction import ATTEMPT_MARGIN
 from stileloft.rebuild.replica import Replica
 
@@ -52,7 +52,7 @@
     """The job's end; if the store holds it as unfinished, that record goes in the same transaction."""
     active, final = records.active_key(job), records.final_key(job)
     guards = {active: version, final: 0, **protection.guards()}
-    value = {"phase": end.phase, "n": end.tasks}
+    value = records.final_record(end.phase, end.tasks)
     try:
         await node.state.commit(guards, {final: value}, [active] if version else [])
         log.info("job %s is %s, which the rebuild did not know", job, end.phase)
--- a/stileloft/rebuild/protection.py
+++ b/stileloft/rebuild/protection.py
@@ -8,7 +8,8 @@
 import msgspec
 
 from stileloft.bookkeeping import records
-from stileloft.coordination.integrity import KnownEnd, StoreIntegrity
+from stileloft.bookkeeping.records import JobEnd
+from stileloft.coordination.integrity import StoreIntegrity
 from stileloft.protocol.state import ConflictError, StoreLostError, UnavailableError, UnknownOutcomeError
 from stileloft.rebuild import identity as identities
 from stileloft.rebuild import undecided
@@ -140,9 +141,8 @@
             if replica is not None:
                 take_in(notes, replica)
 
-    def end_of(self, _job: str) -> KnownEnd | None:
-        end = self.replica.ends.get(_job)
-        return None if end is None else KnownEnd(*end)
+    def end_of(self, _job: str) -> JobEnd | None:
+        return self.replica.ends.get(_job)
 
     def is_unknown_job(self, _job: str) -> bool:
         record = self.replica.records.get(records.UNDECIDED + _job)
@@ -274,8 +274,7 @@
         """A first look: a store without an identity is new, not protected yet, or has lost everything."""
         # Peers are asked first, as they may give the store an identity meanwhile.
         views = await self._node.peers.views()
-        items, revision = await self._state.first_items(records.IDENTITY, 1)
-        found = items[0][1:] if items and items[0][0] == records.IDENTITY else None
+        found, revision = await self._state.lookup_at(records.IDENTITY)
         known = self.identity
         if found is not None:
             if known is not None and revision < self.replica.revision and self.replica.generation == known.generation:
@@ -306,8 +305,7 @@
 
     async def _look(self) -> None:
         """Reads the identity as it is now."""
-        items, revision = await self._state.first_items(records.IDENTITY, 1)
-        self._take(items[0][1:] if items and items[0][0] == records.IDENTITY else None, revision)
+        self._take(*await self._state.lookup_at(records.IDENTITY))
 
     async def _protect(self) -> None:
         """Gives the store an identity, once all controllers say that they protect it."""
--- a/stileloft/rebuild/rebuilder.py
+++ b/stileloft/rebuild/rebuilder.py
@@ -41,7 +41,6 @@
     REPLICAS = "reading the controllers' replicas"
     REPORTS = "waiting for the workers' reports"
     RECORDS = "writing the records"
-    DONE = "done"
 
 
 class Rebuilder:
@@ -263,7 +262,6 @@
         sound = msgspec.structs.replace(identity, rebuilding=False, unheard=tuple(sorted(self._awaited)))
         version = await self._state.commit(self._guards(), {records.IDENTITY: identities.to_record(sound)}, [])
         self._protection.rebuilt(sound, version, self.token, self._replica(sound.generation, version))
-        self.step = Step.DONE
         log.info(
             "rebuilt in %.1f s and %d transactions: %d jobs running, %d pending, %d ended, %d undecided",
             self._node.reactor.seconds() - self._began_at,
--- a/stileloft/rebuild/reconstruction.py
+++ b/stileloft/rebuild/reconstruction.py
@@ -1,14 +1,16 @@
 """What is to be written into a store that has lost its records: a function of what is known, without I/O."""
 
+import functools
 from collections.abc import Iterator, Mapping
 from dataclasses import dataclass, field
 from typing import Any
 
 from stileloft.bookkeeping import records
 from stileloft.bookkeeping.model import separate_chunk
+from stileloft.bookkeeping.records import JobEnd
 from stileloft.protocol.messages import EXITED, JobSpec, Report, TaskReport, job_from_wire
 from stileloft.rebuild import undecided
-from stileloft.rebuild.ends import Ends, JobEnd
+from stileloft.rebuild.ends import Ends
 from stileloft.rebuild.merge import Image
 from stileloft.rebuild.undecided import Undecided
 
@@ -210,7 +212,7 @@
         self, spec: JobSpec, value: dict[str, Any], chunks: dict[str, Any], listed: dict[str, str]
     ) -> dict[str, str]:
         """Tasks that were waiting, but may have run since on a machine that is not heard any more."""
-        unheard = self._unheard_machines()
+        unheard = self._unheard_machines
         if not unheard:
             return {}
         size = value.get("n", self._evidence.first_chunk_size)
@@ -223,6 +225,7 @@
         told = f"it waited, and may have run on {unheard[0]}, which was not heard again"
         return dict.fromkeys(waiting, told)
 
+    @functools.cached_property
     def _unheard_machines(self) -> list[str]:
         """Machines that the image names and that have not reported since the loss."""
         named: set[str] = set()
--- a/stileloft/rebuild/replica.py
+++ b/stileloft/rebuild/replica.py
@@ -7,7 +7,8 @@
 import orjson
 
 from stileloft.bookkeeping import records
-from stileloft.rebuild.ends import Ends, InvalidEndsError, JobEnd
+from stileloft.bookkeeping.records import JobEnd
+from stileloft.rebuild.ends import Ends, InvalidEndsError
 
 # What is written back as it was. Where images are is a hint that is learned anew, and ends are kept apart.
 RESTORED_PREFIXES = (records.ACTIVE, records.TASKS, records.RENTED, records.UNDECIDED)
--- a/tests/loopback_cluster.py
+++ b/tests/loopback_cluster.py
@@ -28,7 +28,7 @@
 from stileloft.transport.client import Client, ConnectionFailedError, NoResponseError, Reply
 from tests.rules import Rules
 from tests.simulation.cloud import Cloud
-from tests.simulation.deployment import SETTINGS
+from tests.simulation.deployment import SETTINGS, with_settings
 from tests.simulation.gangs import Gang
 from tests.simulation.state_service import StateService
 from tests.simulation.users import Users
@@ -183,17 +183,16 @@
         )
         text = SETTINGS.format(n=self.names.index(name), zone="a", peers=peers, value_kb=self.value_kb, coming="")
         number = self.names.index(name)
-        for old, new in (
-            (f"10.0.0.{number}:8080", self.public[name]),
-            (f"10.0.0.{number}:8081", self.peers[name]),
-            ("10.9.0.1:1", f"{LOCAL}:{self.state_port}"),
-            ("10.9.0.2:1", f"{LOCAL}:{self.cloud_port}"),
-            ("report_s = 2.0", f"report_s = {self.REPORT_S}"),
-            ("lease_s = 12.0", f"lease_s = {self.LEASE_S}"),
-            ("cancel_s = 30.0", f"cancel_s = {self.CANCEL_S}"),
-        ):
-            text = text.replace(old, new)
-        return text
+        changes = {
+            f"10.0.0.{number}:8080": self.public[name],
+            f"10.0.0.{number}:8081": self.peers[name],
+            "10.9.0.1:1": f"{LOCAL}:{self.state_port}",
+            "10.9.0.2:1": f"{LOCAL}:{self.cloud_port}",
+            "report_s = 2.0": f"report_s = {self.REPORT_S}",
+            "lease_s = 12.0": f"lease_s = {self.LEASE_S}",
+            "cancel_s = 30.0": f"cancel_s = {self.CANCEL_S}",
+        }
+        return with_settings(text, changes)
 
     def spawn(self, name: str) -> subprocess.Popen:
         settings, features = self.folder / f"{name}.toml", self.folder / "features.toml"
--- a/tests/measure_rebuild.py
+++ b/tests/measure_rebuild.py
@@ -9,8 +9,9 @@
 import time
 
 from stileloft.bookkeeping import records
+from stileloft.bookkeeping.records import JobEnd
 from stileloft.features import Features, RebuildFeature
-from stileloft.rebuild.ends import Ends, JobEnd
+from stileloft.rebuild.ends import Ends
 from stileloft.rebuild.replica import Replica
 from stileloft.rebuild.snapshot import to_pieces
 from tests.simulation.fleet import FleetWorld
--- a/tests/simulation/deployment.py
+++ b/tests/simulation/deployment.py
@@ -1,5 +1,14 @@
 """The settings of the simulated deployment, and the cloud's machine types."""
 
+
+def with_settings(text: str, changes: dict[str, str]) -> str:
+    """Settings in which some lines, or parts of them, are others; each has to be there."""
+    for old, new in changes.items():
+        assert old in text
+        text = text.replace(old, new)
+    return text
+
+
 SETTINGS = """
 member = "node-{n}"
 site = "{zone}"
--- a/tests/simulation/fleet.py
+++ b/tests/simulation/fleet.py
@@ -2,7 +2,7 @@
 
 from stileloft.bookkeeping import records
 from stileloft.features import Features
-from tests.simulation.deployment import TYPES
+from tests.simulation.deployment import TYPES, with_settings
 from tests.simulation.world import World
 
 JOBS, TASKS = 20, 100
@@ -30,16 +30,13 @@
                 self.clock.callLater(self.random.uniform(0.0, self.REPORT_S), machine.boot_once)
 
     def settings(self, name: str) -> str:
-        text = super().settings(name)
-        for old, new in (
-            ("report_s = 2.0", f"report_s = {self.REPORT_S}"),
-            ("lease_s = 12.0", f"lease_s = {self.LEASE_S}"),
-            ("cancel_s = 30.0", f"cancel_s = {self.CANCEL_S}"),
-            ("max_sockets = 200", f"max_sockets = {self.SOCKETS}"),
-        ):
-            assert old in text
-            text = text.replace(old, new)
-        return text
+        changes = {
+            "report_s = 2.0": f"report_s = {self.REPORT_S}",
+            "lease_s = 12.0": f"lease_s = {self.LEASE_S}",
+            "cancel_s = 30.0": f"cancel_s = {self.CANCEL_S}",
+            "max_sockets = 200": f"max_sockets = {self.SOCKETS}",
+        }
+        return with_settings(super().settings(name), changes)
 
     def submit_batch(self, after_s: float) -> None:
         """Small tasks by the thousand, four of which fill a machine's memory."""
--- a/tests/test_rebuild_parts.py
+++ b/tests/test_rebuild_parts.py
@@ -11,11 +11,12 @@
 
 from stileloft.bookkeeping import records
 from stileloft.bookkeeping.model import active_record, separate_chunk
+from stileloft.bookkeeping.records import JobEnd
 from stileloft.features import FeaturesError, parse
 from stileloft.protocol.messages import JobSpec, Report, TaskReport, parse_job
 from stileloft.rebuild import undecided
 from stileloft.rebuild.directory import SnapshotDirectory
-from stileloft.rebuild.ends import Ends, InvalidEndsError, JobEnd
+from stileloft.rebuild.ends import Ends, InvalidEndsError
 from stileloft.rebuild.merge import Image, merge
 from stileloft.rebuild.notes import InvalidNotesError, parse_notes, take_in
 from stileloft.rebuild.reconstruction import ATTEMPT_MARGIN, Evidence, Reconstruction, reconstruct
--- a/tests/test_size.py
+++ b/tests/test_size.py
@@ -8,7 +8,7 @@
 from stileloft.coordination.rounds import Rounds
 from stileloft.coordination.snapshot_builder import SnapshotBuilder
 from stileloft.transport.sockets import KEEP_USERS, Sockets
-from tests.simulation.deployment import TYPES
+from tests.simulation.deployment import TYPES, with_settings
 from tests.simulation.world import World
 
 MACHINES = 200
@@ -97,15 +97,12 @@
     SOCKETS, CLOUD_RPS, WRITE_RPS = 1950, 9.0, 50.0
 
     def settings(self, name: str) -> str:
-        text = super().settings(name)
-        for old, new in (
-            ("max_sockets = 200", f"max_sockets = {self.SOCKETS}"),
-            ("write_rps = 60.0", f"write_rps = {self.WRITE_RPS}"),
-            ("\nrps = 8.0", f"\nrps = {self.CLOUD_RPS}"),
-        ):
-            assert old in text
-            text = text.replace(old, new)
-        return text
+        changes = {
+            "max_sockets = 200": f"max_sockets = {self.SOCKETS}",
+            "write_rps = 60.0": f"write_rps = {self.WRITE_RPS}",
+            "\nrps = 8.0": f"\nrps = {self.CLOUD_RPS}",
+        }
+        return with_settings(super().settings(name), changes)
 
 
 @pytest.mark.parametrize("keeps", [False, True])
