A start that is on its way is barred by a higher token before its machine's lease is renewed again

What stood in its place waited a lease after the newest stop, and each answered report moved that clock; the machine was never emptied while it reported. The class: an action on a right that had lapsed, with a bound whose clock a retry moves.

Tokens of one term are its key's version and the revisions of its own transactions, which are guarded on that key: unique to one leader, below any successor's, for old versions too, at no change of the store. An answer that can't do so, or can't stop all that is cancelled, renews no lease. No start is sent without a spare token, so the fence asks neither store nor cloud. Attempts are forgotten once their start is barred, in place of "not in this session" after any missing answer. `coordination/authority.py` decides on starts, stops, forgets, rentals, returns and answers; starts are asked for again when their connection is there (they could leave a second, or a pause of the process, after the end was known). A leader knows at once what its own users cancel. `coordination/invariants.py` asserts seven invariants at run time, shown in `GET /status`; each test fails on one. `GET /status` and the log tell of each start in doubt: first sent, token, session, answered, since when.

Ruled out: returning the machine (its other tasks pay, and the cloud has to answer), letting its lease lapse (its other tasks pay); the lapse stays as what happens when the worker hears nothing.

--- a/stileloft/bookkeeping/model.py
+++ b/stileloft/bookkeeping/model.py
@@ -6,6 +6,7 @@
 from typing import Any
 
 from stileloft.bookkeeping import records
+from stileloft.bookkeeping.starts import OpenStarts
 from stileloft.protocol.messages import RUNNING, SAVING, JobSpec, MachineType, job_from_wire, job_to_wire
 
 TaskKey = tuple[str, int]
@@ -32,7 +33,6 @@
     """When this leader first saw it run."""
     placed_here: bool = False
     """This leader placed it, and so saw its beginning; of others it is not known for how long they had run."""
-    bound_at: float = 0.0
     done: bool = False
     """With ENDED: the task completed, rather than having to run again."""
     stop_grace: float | None = None
@@ -366,8 +366,20 @@
     team: str
 
 
+@dataclass(frozen=True, slots=True)
+class Forget:
+    """An exited task that its machine is to forget."""
+
+    attempt: int
+    due_at: float
+    """From when on, by this leader's clock."""
+    done: bool
+
+
 @dataclass(slots=True)
 class Machine:
+    """A machine as the leader knows it."""
+
     id: str
     type: str = ""
     zone: str = ""
@@ -399,16 +411,22 @@
     """Why nothing more is started here."""
     placements: dict[TaskKey, Placement] = field(default_factory=dict)
     strays: dict[str, Stray] = field(default_factory=dict)
-    forgets: dict[str, tuple[int, float]] = field(default_factory=dict)
-    """Exited tasks to be forgotten: attempt, and from when on."""
+    forgets: dict[str, Forget] = field(default_factory=dict)
+    """Exited tasks to be forgotten."""
     images: dict[str, None] = field(default_factory=dict)
     """Images it has, as far as seen; the one used last comes last."""
     images_stored: bool = True
     sending: bool = False
     send_failures: int = 0
     retry_at: float = 0.0
-    uncertain_session: int | None = None
-    """A start sent in this session may still be executed: nothing is forgotten in it."""
+    token: int = 0
+    """What our commands and answers to it carry; never lowered."""
+    token_raised_at: float = float("-inf")
+    known_token: int = 0
+    """The highest that its worker has seen, by its newest report: it executes nothing under a lower one."""
+    open_starts: OpenStarts = field(default_factory=OpenStarts)
+    fenced_starts: dict[str, int] = field(default_factory=dict)
+    """Tasks, with their attempts, whose start was barred in this session before it was executed."""
     errors: set[str] = field(default_factory=set)
     error_count: int = 0
     idle_since: float | None = None
--- /dev/null
+++ b/stileloft/bookkeeping/starts.py
@@ -0,0 +1,87 @@
+"""Start commands that were sent to a machine and may still be executed, for the first time or again."""
+
+from dataclasses import dataclass, field
+from typing import Any
+
+StartKey = tuple[str, int]
+"""A task and its attempt."""
+
+
+@dataclass(slots=True)
+class SentStart:
+    """What is known of the start of one attempt in the machine's present session."""
+
+    first_sent_at: float
+    """Seconds of this leader's clock."""
+    token: int
+    """The highest under which it was sent."""
+    session: int
+    """The worker's session that it was sent to; in any other it is refused."""
+    answered_at: float | None = None
+    """When a message with it was first answered."""
+    in_doubt_since: float | None = None
+    """When a message with it first got no answer: that one may be executed at any later time."""
+
+
+@dataclass(slots=True)
+class OpenStarts:
+    """The starts sent to one machine that its worker would still execute if they came now.
+
+    One is taken off the list when the worker is known to be in another session or to have seen a higher token, or when
+    its attempt is forgotten there. So there are no more of them than tasks on the machine, exited ones included.
+    """
+
+    by_attempt: dict[StartKey, SentStart] = field(default_factory=dict)
+
+    def sent(self, task: str, attempt: int, now: float, token: int, session: int) -> None:
+        """A message with this start is about to be sent."""
+        known = self.by_attempt.get((task, attempt))
+        if known is None:
+            self.by_attempt[task, attempt] = SentStart(now, token, session)
+        else:
+            known.token, known.session = max(known.token, token), max(known.session, session)
+
+    def get(self, task: str, attempt: int) -> SentStart | None:
+        """The start of an attempt, if it may still be executed."""
+        return self.by_attempt.get((task, attempt))
+
+    def drop(self, task: str, attempt: int) -> None:
+        """The attempt is forgotten on the machine."""
+        self.by_attempt.pop((task, attempt), None)
+
+    def highest_token(self, keys: list[StartKey]) -> int:
+        """The highest token under which any of these was sent; 0 if none of them is open."""
+        return max((self.by_attempt[key].token for key in keys if key in self.by_attempt), default=0)
+
+    def drop_refused(self, session: int, known_token: int) -> list[tuple[StartKey, SentStart]]:
+        """Takes off what a worker in this session, which has seen this token, does not execute any more."""
+        if not self.by_attempt:
+            return []
+        refused = [
+            (key, start)
+            for key, start in self.by_attempt.items()
+            if start.session < session or start.token < known_token
+        ]
+        for key, _ in refused:
+            del self.by_attempt[key]
+        return refused
+
+    def in_doubt(self) -> list[tuple[StartKey, SentStart]]:
+        """Those of which a message got no answer."""
+        return [(key, start) for key, start in self.by_attempt.items() if start.in_doubt_since is not None]
+
+    def describe(self, machine: str) -> list[dict[str, Any]]:
+        """What the administration API shows of those in doubt."""
+        return [
+            {
+                "machine": machine,
+                "task": key[0],
+                "attempt": key[1],
+                "first_sent_at": round(start.first_sent_at, 3),
+                "token": start.token,
+                "session": start.session,
+                "answered_at": start.answered_at and round(start.answered_at, 3),
+                "in_doubt_since": start.in_doubt_since and round(start.in_doubt_since, 3),
+            }
+            for key, start in self.in_doubt()
+        ]
--- a/stileloft/coordination/admission.py
+++ b/stileloft/coordination/admission.py
@@ -2,6 +2,7 @@
 
 import logging
 from collections import OrderedDict
+from collections.abc import Callable
 from typing import Any, Protocol
 
 from twisted.internet import defer
@@ -107,6 +108,8 @@
         self._writes = writes
         self._wall = wall
         self._value_bytes = value_bytes
+        self.on_cancelled: Callable[[str, int], None] = lambda _job, _revision: None
+        """Called with each job that a user of this node has cancelled, and the store's revision, before the answer."""
         # Only final answers may come from memory: nothing can make them older.
         self._final: OrderedDict[str, dict[str, Any]] = OrderedDict()
         self._gathered: list[defer.Deferred[dict[str, Any]]] = []
@@ -262,7 +265,8 @@
         guards = {active: version, final: 0, **self._integrity.guards()}
         revision = await self._state.commit(guards, puts, [active])
         self._integrity.committed(puts, [active], revision)
-        log.info("job %s cancelled", job)
+        log.info("job %s cancelled, revision %d", job, revision)
+        self.on_cancelled(job, revision)
         return self._keep_final(job, ended)
 
     @staticmethod
--- a/stileloft/coordination/cluster.py
+++ b/stileloft/coordination/cluster.py
@@ -49,6 +49,11 @@
         job = self.jobs.get(job_id)
         return job is None or job.over is not None or job.reload
 
+    def has_ended(self, job_id: str) -> bool:
+        """Whether the job is known to be over: whatever may still run or start of it must not."""
+        job = self.jobs.get(job_id)
+        return job is None or job.over is not None
+
     def stray_tasks(self) -> set[str]:
         """Tasks that are on a machine where they are not to be: nowhere are they started meanwhile.
 
--- a/stileloft/coordination/dispatch.py
+++ b/stileloft/coordination/dispatch.py
@@ -3,11 +3,14 @@
 import logging
 from typing import TYPE_CHECKING, Any
 
+import msgspec
 from twisted.internet import defer
 
 from stileloft.bookkeeping import records
-from stileloft.bookkeeping.model import BOUND, ENDED, Job, Machine, Placement, Stray
-from stileloft.coordination import gangs
+from stileloft.bookkeeping.model import BOUND, ENDED, Forget, Job, Machine, Placement, Stray
+from stileloft.bookkeeping.starts import StartKey
+from stileloft.coordination.authority import Refusal
+from stileloft.coordination.fence import Fence
 from stileloft.coordination.fleet import UNANSWERED_S
 from stileloft.protocol import messages
 from stileloft.protocol.messages import BUSY, EXITED, NO_ROOM, RUNNING, UNKNOWN, WAITING, Report, TaskReport
@@ -18,8 +21,13 @@
 
 log = logging.getLogger(__name__)
 
-# Commands in one message; a body may hold 64 KiB.
+# Commands in one direct message, and in an answer; a body may hold 64 KiB, and a stop takes some 110 bytes at the most.
 MAX_COMMANDS = 200
+MOST_IN_ANSWER = 500
+# The token of an answer that its worker is to drop: it renews no lease.
+NO_TOKEN = 0
+# Starts in doubt that `GET /status` shows one by one.
+SHOWN_IN_DOUBT = 50
 # Repeats and retries, as parts of the report interval.
 REPEAT_STOP = 1.0
 RETRY = 0.4
@@ -31,9 +39,27 @@
 COUNTS_FLUSH_S = 0.25
 
 
+class Metrics(msgspec.Struct):
+    """What was sent in this term; counts."""
+
+    starts_sent: int = 0
+    """Starts that went out, repeats included."""
+    starts_answered: int = 0
+    starts_in_doubt: int = 0
+    """Attempts of which a message got no answer."""
+    withdrawn: int = 0
+    """Messages that were not right any more when their connection was there."""
+    withheld_renewals: int = 0
+    """Answers that would have kept a cancelled task alive, and renewed no lease."""
+
+
 class Dispatch:
+    """Reports, answers and direct commands. What may be sent is decided by `authority`, which tokens by `fence`."""
+
     def __init__(self, term: "Term") -> None:
         self.term = term
+        self.fence = Fence(term)
+        self.metrics = Metrics()
         self.report_s = term.settings.workers.report_s
         self.claims = 0
         """Claims under way. Those beyond the most at once are made in a later check."""
@@ -59,7 +85,7 @@
         self._take_token(machine, report.token, new_session, now)
         machine.reported = True
         if new_session:
-            machine.uncertain_session = None
+            machine.fenced_starts.clear()
             machine.forgets.clear()
             machine.strays.clear()
             machine.view = None
@@ -88,7 +114,8 @@
     def _take_token(self, machine: Machine, token: int, new_session: bool, now: float) -> None:
         """Whether its report can be believed: it carries our own token."""
         was_trusted = machine.trusted
-        machine.trusted = token == self.term.token
+        machine.trusted = self.term.tokens.is_own(token)
+        machine.known_token = token
         claims = machine.trusted and not machine.claimed
         if new_session or claims:
             # A session that nobody answers lasts for a lease as well, and what was started in it lives as long.
@@ -102,6 +129,7 @@
     def _take_tasks(self, machine: Machine, tasks: list[TaskReport], now: float) -> None:
         unseen = dict(machine.placements)
         strays: dict[str, Stray] = {}
+        self.fence.take_report(machine, tasks)
         for task in tasks:
             key = records.split_task(task.task)
             placement = machine.placements.get(key)
@@ -124,7 +152,7 @@
         if strays.keys() != machine.strays.keys():
             machine.view = None
         for task_id in strays.keys() - machine.strays.keys():
-            if not self.term.is_left_alone(records.split_task(task_id)[0]):
+            if self.term.authority.stop_task(task_id) is None:
                 log.info("task %s on %s is not ours to run there: stopping it", task_id, machine.id)
         machine.strays = strays
 
@@ -133,13 +161,17 @@
         placement.seen = None
         if placement.state != BOUND:
             return
-        if placement.sent_session is not None:
-            if placement.sent_session < machine.session:
-                # Sessions kill their tasks when they end, and starts sent in one fail in the next.
-                self.term.tasks.end(placement, "its session is over")
-        elif machine.draining or placement.stop_grace is not None:
-            # The worker knows our token, so no older leader's start can be executed any more.
-            self.term.tasks.end(placement, "it was not started")
+        unwanted = machine.draining is not None or placement.stop_grace is not None
+        if placement.sent_session is None:
+            if unwanted:
+                # The worker knows our token, so no older leader's start can be executed any more.
+                self.term.tasks.end(placement, "it was not started")
+        elif placement.sent_session < machine.session:
+            # Sessions kill their tasks when they end, and starts sent in one fail in the next.
+            self.term.tasks.end(placement, "its session is over")
+        elif unwanted and machine.open_starts.get(placement.task, placement.attempt) is None:
+            self.fence.barred(machine, placement)
+            self.term.tasks.end(placement, "its start was barred before it came")
 
     def _stray(self, job_id: str, task: TaskReport) -> Stray:
         job = self.term.jobs.get(job_id)
@@ -203,22 +235,47 @@
         if (machine.session, machine.seq) == (session, seq):
             # A copy that comes late must show no sign of life. If it is the report itself, overtaken by the
             # answer to a command, its worker is to drop this answer: it must renew no lease that we don't count.
-            return messages.orders(0, [])
+            return messages.orders(NO_TOKEN, [])
         if machine.session != session:
             machine.reached_at = float("-inf")  # its tasks were lost though we answered: ask whether it hears us
         elif claimed and now - before < UNANSWERED_S:
             # Or it would not report to us again so soon. What came first may have been an old report, so it counts
             # only once the worker is known to have our token.
             machine.reached_at = max(machine.reached_at, before)
-        machine.renewed_at = machine.came_at = now
-        # Stops do no harm, even if we lead no longer: the token sees to that. A worker that does not know ours
-        # learns it with this answer, which renews its lease, and so has to tell it what is cancelled.
-        commands = self._stops(machine, renewing=True)
-        if machine.trusted and term.confirmed():
-            commands += self._forgets(machine)
+        machine.came_at = now
+        answer = self._renewal(machine, now)
         if not machine.trusted or (not machine.sending and self._starts(machine)):
             self.send(machine)
-        return messages.orders(term.token, commands[:MAX_COMMANDS])
+        return answer
+
+    def _renewal(self, machine: Machine, now: float) -> dict[str, Any]:
+        """An answer that renews a worker's lease, or one that its worker drops if that would break the bound.
+
+        A worker that does not know our token learns it with this answer. So it has to tell of all that is cancelled:
+        the stops of what may run, and a token that bars what may still start. If not all of it fits in, the lease is
+        not renewed; direct commands stop the rest, and if they don't come through, the end of the lease does.
+        """
+        fenced = self.fence.raise_token(machine, now)
+        commands = self._stops(machine, renewing=True)
+        required = self._required_stops(machine)
+        told = {(command["piece"], command["try"]) for command in commands[:MOST_IN_ANSWER]}
+        if not fenced or not required <= told:
+            self.metrics.withheld_renewals += 1
+            self.send(machine)
+            return messages.orders(NO_TOKEN, [])
+        if not self.fence.check_renewal(machine, told):
+            return messages.orders(NO_TOKEN, [])
+        machine.renewed_at = now
+        commands += self._forgets(machine)
+        return messages.orders(machine.token, commands[:MOST_IN_ANSWER])
+
+    def _required_stops(self, machine: Machine) -> set[StartKey]:
+        """What an answer that renews the lease has to stop."""
+        return {
+            (p.task, p.attempt)
+            for p in machine.placements.values()
+            if p.state == BOUND and self.term.cluster.has_ended(p.job)
+        }
 
     # -- commands ---------------------------------------------------------------
 
@@ -228,24 +285,16 @@
 
     def _starts(self, machine: Machine) -> list[Placement]:
         """Placements whose task has to be started, or whose start has to be repeated."""
-        term = self.term
-        if not machine.placements:
+        authority = self.term.authority
+        unseen = [p for p in machine.placements.values() if p.seen is None and p.state == BOUND]
+        if not unseen:
             return []
-        if not term.confirmed() or not term.watch.is_fresh() or not machine.trusted or machine.releasing:
+        refusal = authority.starts(machine)
+        if refusal is Refusal.NO_SPARE_TOKEN:
+            self.fence.request_spare(machine, unseen)
+        if refusal is not None:
             return []
-        # A start without an answer may be executed at any later time. One that is to be stopped by
-        # now is repeated too: only a task that was seen can be told to exit, and so be let go.
-        found = [
-            p
-            for p in machine.placements.values()
-            if p.state == BOUND
-            and p.seen is None
-            and not term.cluster.is_over(p.job)
-            and (p.stop_grace is None or p.sent_session == machine.session)
-        ]
-        # None of a gang is started before all of it is known to be placed. One that is to be stopped is repeated.
-        ready = {job_id: gangs.may_start(term.jobs[job_id]) for job_id in {p.job for p in found}}
-        return [p for p in found if p.stop_grace is not None or ready[p.job]]
+        return [p for p in unseen if authority.start(p, machine) is None]
 
     def _stops(self, machine: Machine, renewing: bool = False) -> list[dict[str, Any]]:
         """What the machine has to stop; `renewing`: for an answer, which tells it of all jobs that are over."""
@@ -256,7 +305,8 @@
                 continue
             command = messages.stop(placement.task, placement.attempt, placement.stop_grace)
             if renewing and self.term.cluster.is_over(placement.job):
-                # Whatever became of the stops before: the lease is renewed, so this answer has to carry one.
+                # Whatever became of the stops before: the lease is renewed, so this answer has to carry one. This paces
+                # the repeats, and must be the clock of nothing else: it moves for as long as the machine reports.
                 placement.stop_at = now
                 commands.append(command)
             elif now >= placement.stop_at + REPEAT_STOP * self.report_s and not (
@@ -268,34 +318,39 @@
         commands += [
             messages.stop(task, stray.attempt, 0.0)
             for task, stray in machine.strays.items()
-            if not self.term.is_left_alone(records.split_task(task)[0])
+            if self.term.authority.stop_task(task) is None
         ]
         return commands
 
     def _forgets(self, machine: Machine) -> list[dict[str, Any]]:
         """Exited tasks that the store no longer places here.
 
-        None while a start may still be executed: it would run a forgotten attempt again.
+        None of which a start may still be executed: it would run a forgotten attempt again.
         """
-        if machine.sending or machine.uncertain_session == machine.session:
+        authority = self.term.authority
+        if not machine.forgets or authority.forgets(machine) is not None:
             return []
         now = self.term.clock.seconds()
-        due = [(task, entry[0]) for task, entry in machine.forgets.items() if entry[1] <= now][:MAX_COMMANDS]
-        for task, _ in due:
+        due = [(task, entry) for task, entry in machine.forgets.items() if entry.due_at <= now][:MAX_COMMANDS]
+        allowed = [(task, e.attempt) for task, e in due if not authority.forget(machine, task, e.attempt, e.done)]
+        if len(allowed) < len(due):
+            self.fence.raise_for_forgets(machine, now)
+        for task, attempt in allowed:
             del machine.forgets[task]  # what is reported again is forgotten again
-        return [messages.forget(task, attempt) for task, attempt in due]
+            machine.open_starts.drop(task, attempt)
+        return [messages.forget(task, attempt) for task, attempt in allowed]
 
     def forget_later(self, machine: Machine, task: str, attempt: int, done: bool) -> None:
         """Has an exited task forgotten that the store no longer places there.
 
         A repeat of its start may still come, and would run a forgotten attempt again, perhaps beside a
-        newer one elsewhere. So attempts that were stopped stay known for as long as repeats may come;
-        a task that is done only says so again.
+        newer one elsewhere. So attempts that were stopped stay known until the fence bars their starts, which is done
+        for many together; a task that is done only says so again.
         """
         known = machine.forgets.get(task)
-        if known is None or known[0] != attempt:
+        if known is None or known.attempt != attempt:
             wait_s = 0.0 if done else FORGET_LEASES * self.term.settings.workers.lease_s
-            machine.forgets[task] = attempt, self.term.clock.seconds() + wait_s
+            machine.forgets[task] = Forget(attempt, self.term.clock.seconds() + wait_s, done)
 
     def send(self, machine: Machine) -> None:
         """Sends what the machine has to do, one message at a time."""
@@ -303,11 +358,13 @@
         now = term.clock.seconds()
         if machine.sending or not machine.address or now < machine.retry_at or self._is_settled(machine, now):
             return
-        if not term.confirmed() or not term.loaded:
+        if term.authority.commands() is not None:
             return
+        self.fence.raise_token(machine, now)
         starts = self._starts(machine)[:MAX_COMMANDS]
-        commands = self._stops(machine)
+        commands = self._stops(machine)[:MAX_COMMANDS]
         known = machine.trusted and (self.reaches(machine, now) or not machine.reported)
+        known = known and not self.fence.is_overdue(machine, now)
         if not commands and not starts and (known or not self._worth_claiming(machine)):
             return  # exited tasks can wait for the answer to the next report
         claim = not commands and not starts
@@ -319,48 +376,69 @@
         session = machine.session or 1
         for placement in starts:
             placement.sent_session = session
+            machine.open_starts.sent(placement.task, placement.attempt, now, machine.token, session)
         self.claims += claim
         defer.ensureDeferred(self._send(machine, session, commands, starts, claim))
 
     def _is_settled(self, machine: Machine, now: float) -> bool:
         """Whether it is plain that there is nothing to send, as for most of a large fleet, which is looked at often."""
-        return machine.trusted and not machine.placements and not machine.strays and self.reaches(machine, now)
+        return (
+            machine.trusted
+            and not machine.placements
+            and not machine.strays
+            and not self.fence.is_overdue(machine, now)
+            and self.reaches(machine, now)
+        )
 
     @staticmethod
     def _worth_claiming(machine: Machine) -> bool:
         """A machine that is still booting answers nothing, and reports by itself when it is up."""
         return machine.reported or bool(machine.placements) or machine.listed_state == "running"
 
+    def _may_transmit(self, machine: Machine, starts: list[Placement]) -> bool:
+        """Whether a message is still right now that its connection is there: what was known may have changed since."""
+        refusal = self.term.authority.transmission(starts, machine)
+        if refusal is not None:
+            log.info("commands to %s are withdrawn before they are sent: %s", machine.id, refusal)
+            self.metrics.withdrawn += 1
+            return False
+        if not self.fence.check_transmission(machine, starts):
+            return False
+        self.metrics.starts_sent += len(starts)
+        return True
+
     async def _send(
         self, machine: Machine, session: int, commands: list[dict[str, Any]], starts: list[Placement], claim: bool
     ) -> None:
-        term = self.term
+        term, token = self.term, machine.token
+        if starts and log.isEnabledFor(logging.DEBUG):
+            tasks = [f"{p.task} attempt {p.attempt}" for p in starts]
+            log.debug("starts to %s under token %d, session %d: %s", machine.id, token, session, tasks)
         try:
             try:
-                executed, report = await term.workers.command(machine.address, term.token, session, commands)
+                executed, report = await term.workers.command(
+                    machine.address, token, session, commands, lambda: self._may_transmit(machine, starts)
+                )
             finally:
                 self.claims -= claim
         except (NotDeliveredError, UncertainDeliveryError) as error:
-            machine.sending = False
-            if isinstance(error, UncertainDeliveryError) and starts:
-                machine.uncertain_session = session
-            machine.send_failures += 1
-            machine.retry_at = term.clock.seconds() + RETRY * self.report_s * min(4, machine.send_failures)
-            log.info("commands to %s: %s", machine.id, error)
+            self._not_answered(machine, starts, error)
             return
         machine.sending = False
         if not term.alive:
             return
         machine.send_failures = 0
+        now = term.clock.seconds()
         if executed:
-            machine.reached_at = term.clock.seconds()
-        if report.token > term.token:
+            machine.reached_at = now
+            self._answered(machine, starts, now)
+        if term.tokens.is_later(report.token):
             term.node.integrity.saw_token(report.token)
             term.node.election.doubt(f"{machine.id} knows token {report.token}")
             return
         with term.lock:
             self.observe(report)
-        if not executed and session != machine.session:
+        if not executed and (session, token) != (machine.session, machine.token):
             self.send(machine)
         elif (
             self._starts(machine)
@@ -369,3 +447,47 @@
         ):
             term.clock.callLater(RETRY * self.report_s, self.send, machine)
         term.after_report()
+
+    def _not_answered(
+        self, machine: Machine, starts: list[Placement], error: NotDeliveredError | UncertainDeliveryError
+    ) -> None:
+        """A message was not delivered, or it is not known whether it was."""
+        machine.sending = False
+        now = self.term.clock.seconds()
+        machine.send_failures += 1
+        machine.retry_at = now + RETRY * self.report_s * min(4, machine.send_failures)
+        log.info("commands to %s: %s", machine.id, error)
+        if isinstance(error, NotDeliveredError):
+            return
+        for placement in starts:
+            start = machine.open_starts.get(placement.task, placement.attempt)
+            if start is not None and start.in_doubt_since is None:
+                start.in_doubt_since = now
+                self.metrics.starts_in_doubt += 1
+                log.info(
+                    "start of %s attempt %d on %s in doubt: first sent at %.3f, token %d, session %d, answered %s",
+                    placement.task,
+                    placement.attempt,
+                    machine.id,
+                    start.first_sent_at,
+                    start.token,
+                    start.session,
+                    "never" if start.answered_at is None else f"at {start.answered_at:.3f}",
+                )
+
+    def _answered(self, machine: Machine, starts: list[Placement], now: float) -> None:
+        """A message was executed."""
+        self.metrics.starts_answered += len(starts)
+        for placement in starts:
+            start = machine.open_starts.get(placement.task, placement.attempt)
+            if start is not None and start.answered_at is None:
+                start.answered_at = now
+
+    def status(self) -> dict[str, Any]:
+        """What the administration API shows of the commands."""
+        in_doubt = [row for m in self.term.machines.values() for row in m.open_starts.describe(m.id)]
+        return msgspec.structs.asdict(self.metrics) | {
+            "tokens": self.fence.status(),
+            "in_doubt_now": len(in_doubt),
+            "in_doubt": in_doubt[:SHOWN_IN_DOUBT],
+        }
--- /dev/null
+++ b/stileloft/coordination/fence.py
@@ -0,0 +1,163 @@
+"""Bars starts that must not be executed any more, by raising the token that a machine's worker knows.
+
+A start whose answer is missing may be executed at any later time. Once its job is over the worker has to see a higher
+token before its lease is renewed again: then either it has seen the token, and refuses the start, or its lease ends,
+and with it the session that the start was sent to. Nothing of this needs the state service or the cloud at that
+moment.
+"""
+
+import logging
+from typing import TYPE_CHECKING, Any
+
+from stileloft.bookkeeping.model import BOUND, Machine, Placement
+from stileloft.bookkeeping.starts import StartKey
+from stileloft.coordination.invariants import Invariant
+from stileloft.protocol.messages import TaskReport
+
+if TYPE_CHECKING:
+    from stileloft.coordination.leader import Term
+
+log = logging.getLogger(__name__)
+
+# Barred starts that are remembered for each machine.
+BARRED_KEPT = 64
+
+
+class Fence:
+    """The tokens that machines are addressed with, and what follows from those that their workers know."""
+
+    def __init__(self, term: "Term") -> None:
+        self._term = term
+        self.waiting: dict[str, None] = {}
+        """Machines that get no starts until there is a spare token."""
+        self.starts_barred = 0
+        """Starts that were sent and are known never to be executed, in whose place nothing was lost."""
+
+    def raise_token(self, machine: Machine, now: float) -> bool:
+        """Sees to it that no start of a job that is over can be executed once our next message is; returns whether."""
+        cluster = self._term.cluster
+        unwanted = [
+            (p.task, p.attempt)
+            for p in machine.placements.values()
+            if p.seen is None and p.state == BOUND and p.sent_session is not None and cluster.has_ended(p.job)
+        ]
+        if not unwanted or machine.open_starts.highest_token(unwanted) < machine.token:
+            return True
+        return self._raise(machine, now, f"a start of {unwanted[0][0]} may still be executed")
+
+    def raise_for_forgets(self, machine: Machine, now: float) -> None:
+        """Has attempts forgotten soon whose starts may still be executed; for many together, as it takes a report."""
+        if now - machine.token_raised_at > self._term.settings.workers.lease_s:
+            self._raise(machine, now, "attempts are to be forgotten")
+
+    def _raise(self, machine: Machine, now: float, reason: str) -> bool:
+        tokens, invariants = self._term.tokens, self._term.invariants
+        token = tokens.issue_above(machine.token)
+        if token is None:
+            invariants.check(
+                False, Invariant.NO_START_WITHOUT_SPARE_TOKEN, lambda: f"{machine.id}, token {machine.token}: {reason}"
+            )
+            return False
+        if not invariants.check(
+            token > max(machine.token, machine.known_token if machine.trusted else 0),
+            Invariant.TOKENS_RISE,
+            lambda: f"{machine.id} knows {machine.known_token}, was told {machine.token}, would be told {token}",
+        ):
+            return False
+        log.info("machine %s gets token %d after %d: %s", machine.id, token, machine.token, reason)
+        machine.token, machine.token_raised_at = token, now
+        self._term.node.integrity.raised_token(token)
+        return True
+
+    def is_overdue(self, machine: Machine, now: float) -> bool:
+        """Whether a machine's worker should have shown by a report that it knows its raised token."""
+        return machine.known_token < machine.token and now > machine.token_raised_at + self._term.dispatch.report_s
+
+    def take_report(self, machine: Machine, tasks: list[TaskReport]) -> None:
+        """Takes in what a believed report shows: starts under a lower token, or of a former session, are void."""
+        machine.open_starts.drop_refused(machine.session, machine.known_token)
+        if machine.fenced_starts:
+            for task in tasks:
+                self._term.invariants.check(
+                    machine.fenced_starts.get(task.task) != task.attempt,
+                    Invariant.FENCED_STAYS_FENCED,
+                    lambda task=task: f"{task.task} attempt {task.attempt} is {task.state} on {machine.id}",  # type: ignore[misc]
+                )
+
+    def barred(self, machine: Machine, placement: Placement) -> None:
+        """The worker does not report a task, and has seen a higher token than any that its start had."""
+        self.starts_barred += 1
+        machine.fenced_starts[placement.task] = placement.attempt
+        while len(machine.fenced_starts) > BARRED_KEPT:
+            del machine.fenced_starts[next(iter(machine.fenced_starts))]
+
+    def request_spare(self, machine: Machine, unseen: list[Placement]) -> None:
+        """Has a record written once more, as the revision of that transaction is a token for the fence."""
+        cluster = self._term.cluster
+        self.waiting[machine.id] = None
+        for placement in unseen:
+            job = cluster.jobs.get(placement.job)
+            if job is not None and not cluster.is_over(job.id):
+                if not job.busy:
+                    job.chunk_of(placement.index).dirty = True
+                    cluster.mark_dirty(job)
+                    self._term.ledger.later(0.0)
+                return
+
+    def take_waiting(self) -> list[str]:
+        """Machines that waited for a spare token."""
+        found = list(self.waiting)
+        self.waiting.clear()
+        return found
+
+    # -- assertions, apart from what decides -------------------------------------------
+
+    def check_renewal(self, machine: Machine, stopped: set[StartKey]) -> bool:
+        """Whether an answer that stops these attempts may renew the lease: the bound on a cancelled task holds."""
+        jobs = self._term.jobs
+        for p in machine.placements.values():
+            job = jobs.get(p.job)
+            if p.state != BOUND or (job is not None and job.over is None):
+                continue
+            start = machine.open_starts.get(p.task, p.attempt)
+            if not self._term.invariants.check(
+                (p.task, p.attempt) in stopped,
+                Invariant.RENEWAL_STOPS,
+                lambda p=p: f"{p.task} attempt {p.attempt} on {machine.id}",  # type: ignore[misc]
+            ):
+                return False
+            if not self._term.invariants.check(
+                p.seen is not None or start is None or start.token < machine.token,
+                Invariant.RENEWAL_FENCES,
+                lambda p=p, start=start: f"{p.task} attempt {p.attempt} on {machine.id}: {start}",  # type: ignore[misc]
+            ):
+                return False
+        return True
+
+    def check_transmission(self, machine: Machine, starts: list[Placement]) -> bool:
+        """Whether starts may go out now: their jobs go on, and the fence could bar them at once."""
+        jobs = self._term.jobs
+        for p in starts:
+            job = jobs.get(p.job)
+            if not self._term.invariants.check(
+                job is not None and job.over is None,
+                Invariant.NO_START_AFTER_END,
+                lambda p=p: f"{p.task} attempt {p.attempt} to {machine.id}",  # type: ignore[misc]
+            ):
+                return False
+        return self._term.invariants.check(
+            not starts or self._term.tokens.has_above(machine.token),
+            Invariant.NO_START_WITHOUT_SPARE_TOKEN,
+            lambda: f"{len(starts)} starts to {machine.id} under token {machine.token}",
+        )
+
+    def status(self) -> dict[str, Any]:
+        """What the administration API shows of the tokens."""
+        tokens = self._term.tokens
+        return {
+            "first": tokens.first,
+            "highest_issued": tokens.highest_issued,
+            "raised": tokens.issued,
+            "starts_barred": self.starts_barred,
+            "machines_waiting_for_a_spare": len(self.waiting),
+        }
--- a/stileloft/coordination/fleet.py
+++ b/stileloft/coordination/fleet.py
@@ -6,7 +6,7 @@
 from twisted.internet import defer
 
 from stileloft.bookkeeping import records
-from stileloft.bookkeeping.model import BOUND, Machine, Placement
+from stileloft.bookkeeping.model import Machine
 from stileloft.coordination.election import DRIFT
 from stileloft.coordination.image_records import ImageRecords
 from stileloft.coordination.scaling import Offer, Plan
@@ -211,7 +211,8 @@
             return
         if machine.notice_until is not None:
             term.tasks.wind_down(machine, now)
-        self._check_doubts(machine, now)
+        if machine.draining and not machine.placements and not machine.strays:
+            self.give_back(machine, machine.draining)
 
     def _check_boot(self, machine: Machine, now: float) -> None:
         """A machine that is not up yet: late, or given up."""
@@ -228,27 +229,6 @@
             for placement in list(machine.placements.values()):
                 self.term.tasks.end(placement, "its machine's lease is over")
 
-    def _check_doubts(self, machine: Machine, now: float) -> None:
-        """Empties a machine where a start of a job that is over may still be executed."""
-        in_doubt = [p for p in machine.placements.values() if self._in_doubt(p, machine, now)]
-        if in_doubt and machine.draining is None:
-            # The job is over, so the start cannot be repeated to learn of it; only the machine's end settles it.
-            log.info("emptying machine %s: a start of %s may still be executed", machine.id, in_doubt[0].task)
-            machine.draining = "a start is in doubt"
-        if machine.draining and len(in_doubt) == len(machine.placements) and not machine.strays:
-            self.give_back(machine, machine.draining)
-
-    def _in_doubt(self, placement: Placement, machine: Machine, now: float) -> bool:
-        """Whether a start of a job that is over got no answer, and nothing was seen of it for a whole lease."""
-        waited = now - max(placement.bound_at, placement.stop_at)
-        return (
-            placement.state == BOUND
-            and placement.seen is None
-            and placement.sent_session == machine.session
-            and self.term.cluster.is_over(placement.job)
-            and waited > self.lease_s
-        )
-
     def _is_late(self, machine: Machine, now: float) -> bool:
         """Whether a machine should be up by now.
 
@@ -301,7 +281,7 @@
         term = self.term
         while term.alive and self.returning:
             await term.sleep(GATHER_S)
-            if not term.confirmed():
+            if term.authority.release() is not None:
                 await term.sleep(0.5)
                 continue
             batch = list(self.returning.values())[:RELEASE_LIMIT]
@@ -355,7 +335,7 @@
         """Begins a rental of at most `RENT_LIMIT` machines."""
         self._serial += 1
         # The process's nonce keeps names apart between nodes, restarts and terms.
-        request = f"r-{self.term.nonce}-{self.term.token}-{self._serial}"
+        request = f"r-{self.term.nonce}-{self.term.tokens.first}-{self._serial}"
         self.renting[request] = (offer, count)
         defer.ensureDeferred(self._rent(request, offer, count))
 
@@ -367,7 +347,7 @@
         refused_s = REFUSED_BOOTS * (kind.boot_s if kind else self.lease_s)
         sent_at = term.clock.seconds()
         for tried in range(RENT_TRIES):
-            if not term.alive or not term.confirmed():
+            if term.authority.rental() is not None:
                 break
             try:
                 machines = await term.cloud.rent(request, name, zone, spot, count)
--- a/stileloft/coordination/integrity.py
+++ b/stileloft/coordination/integrity.py
@@ -51,6 +51,9 @@
     def saw_token(self, token: int) -> None:
         """A worker knows this token."""
 
+    def raised_token(self, token: int) -> None:
+        """As the leader, we tell a worker this token, which is above the one of our election."""
+
     def committed(self, puts: Mapping[str, Any], deletes: Iterable[str], revision: int, told: bool = True) -> None:
         """This controller has changed the store; `told`: users hear of all of it, rather than of jobs' ends only."""
 
--- a/stileloft/coordination/job_watch.py
+++ b/stileloft/coordination/job_watch.py
@@ -128,6 +128,7 @@
         with self._term.lock:
             # With no transaction under way it was none of ours, and we know all that the store holds of it, unless
             # its record held a chunk, which has one of its own now.
+            log.info("the record of job %s is gone, known from revision %d", job_id, version)
             self._term.tasks.close_job(job, "over" if job.busy or job.has_inline_chunk else "cancelled")
         self._settle(job)
 
--- a/stileloft/coordination/leader.py
+++ b/stileloft/coordination/leader.py
@@ -8,6 +8,7 @@
 
 from stileloft.bookkeeping import records
 from stileloft.bookkeeping.model import Job, Machine
+from stileloft.coordination.authority import Authority
 from stileloft.coordination.cluster import Cluster
 from stileloft.coordination.dispatch import Dispatch
 from stileloft.coordination.entries import Entry, Limits
@@ -19,6 +20,7 @@
 from stileloft.coordination.recovery import recover
 from stileloft.coordination.rounds import Rounds
 from stileloft.coordination.snapshot_builder import SnapshotBuilder
+from stileloft.coordination.tokens import FencingTokens
 from stileloft.coordination.workload import Workload
 from stileloft.protocol.messages import JobSpec, MachineType, Report, orders
 from stileloft.protocol.state import UnavailableError, UnknownOutcomeError
@@ -42,7 +44,7 @@
 
     def __init__(self, node: "nodes.Node", token: int, key_version: int) -> None:
         self.node = node
-        self.token = token
+        self.tokens = FencingTokens(token, key_version)
         self._key_version = key_version
         self.nonce = node.nonce
         self.clock = node.reactor
@@ -66,6 +68,8 @@
         """Jobs of which only workers' reports tell: what runs of them goes on until an operator decides."""
         self.limits = Limits(self.settings.state)
         self.workload = Workload(self.settings.objectives, self.wall, lambda: self.types)
+        self.invariants = node.invariants
+        self.authority = Authority(self)
         self.ledger = Ledger(self)
         self.dispatch = Dispatch(self)
         self.fleet = Fleet(self)
@@ -80,6 +84,11 @@
         """The cloud's machine types, with the prices of the moment."""
         return self.node.types
 
+    @property
+    def token(self) -> int:
+        """What workers are told unless one of them has to see a higher one."""
+        return self.tokens.first
+
     # -- life -------------------------------------------------------------------
 
     def begin(self) -> None:
@@ -100,13 +109,8 @@
         return {records.LEADER: self._key_version}
 
     def may_renew(self) -> bool:
-        """Whether an answer of ours may renew a worker's lease: the bound that `blind_grace` derives.
-
-        It asks for both. A leader that others may have replaced, or one that still leads but hears nothing of
-        cancellations, must not keep tasks alive for longer. Each answer that renews carries the stops of all
-        cancellations known, so one after the other several leaders keep a cancelled task no longer than one.
-        """
-        return self.loaded and max(self.node.election.blind_for(), self.watch.staleness_s()) <= self.grace_s
+        """Whether an answer of ours may renew a worker's lease."""
+        return self.authority.renewal() is None
 
     def depose(self, reason: str) -> None:
         """Gives up the leadership."""
@@ -175,7 +179,7 @@
         """The machine of this name, new or known."""
         machine = self.machines.get(machine_id)
         if machine is None:
-            machine = Machine(machine_id, first_seen=self.clock.seconds())
+            machine = Machine(machine_id, first_seen=self.clock.seconds(), token=self.tokens.first)
             machine.images = dict.fromkeys(self.fleet.images.of_former_leader(machine_id))
             self.machines[machine_id] = machine
         return machine
@@ -193,7 +197,7 @@
         if report.machine in self.fleet.gone:
             # Held back on its way: the cloud has told us that the machine is gone. Believing
             # it would bring the machine back to life here, and place tasks on nothing.
-            return orders(self.token, [])
+            return orders(self.tokens.first, [])
         with self.lock:
             answer = self.dispatch.on_report(report)
         self.after_report()
@@ -213,6 +217,7 @@
     def after_commit(self, batch: list[Entry]) -> None:
         """Starts what was bound, at once, and looks for use of what was freed."""
         machines = dict.fromkeys(p.machine for entry in batch for p in entry.bound)
+        machines |= dict.fromkeys(self.dispatch.fence.take_waiting())
         with self.lock:
             for machine_id in machines:
                 machine = self.machines.get(machine_id)
@@ -265,5 +270,12 @@
                     for m in self.machines.values()
                 ],
                 "commits": self.ledger.commits,
+                "commands": self.dispatch.status(),
+                "knowledge": {
+                    "store_read": self.loaded,
+                    "watch_revision": self.watch.revision,
+                    "cancellations_known_s_ago": round(min(1e9, self.watch.staleness_s()), 3),
+                    "lease_renewed_s_ago": round(self.node.election.blind_for(), 3),
+                },
                 "last_decision": self.rounds.last_decision,
             }
--- a/stileloft/coordination/ledger.py
+++ b/stileloft/coordination/ledger.py
@@ -274,6 +274,8 @@
         if not self.term.alive:
             return
         self.commits += 1
+        if revision:
+            self.term.tokens.committed(revision)
         with self.term.lock:
             for entry in batch:
                 self._committed(entry, revision)
@@ -306,11 +308,9 @@
     def _settle_placements(self, entry: Entry) -> None:
         """Planned placements are bound now, and ended ones are gone."""
         job, term = entry.job, self.term
-        now = term.clock.seconds()
         for placement in entry.bound:
             if placement.state == PLANNED:
                 placement.state = BOUND
-                placement.bound_at = now
         for placement in entry.ended:
             chunk = job.chunk_of(placement.index)
             if placement.done and not job.over and placement.index not in chunk.done:
--- a/stileloft/coordination/lifecycle.py
+++ b/stileloft/coordination/lifecycle.py
@@ -38,8 +38,6 @@
             machine = self._term.machine(placement.machine)
             machine.placements[placement.key] = placement
             machine.idle_since = machine.view = None
-            # When it was bound is not stored; no doubt about it can be older than our knowing of it.
-            placement.bound_at = placement.bound_at or self._term.clock.seconds()
 
     def _invalidate_view(self, placement: Placement) -> None:
         machine = self._cluster.machines.get(placement.machine)
--- a/stileloft/coordination/node.py
+++ b/stileloft/coordination/node.py
@@ -16,6 +16,7 @@
 from stileloft.coordination.election import DRIFT, Election
 from stileloft.coordination.fleet import MARGIN_LEASES
 from stileloft.coordination.integrity import StoreIntegrity
+from stileloft.coordination.invariants import InvariantMonitor
 from stileloft.coordination.leader import Term
 from stileloft.coordination.service_check import ServiceCheck
 from stileloft.features import Features
@@ -140,6 +141,8 @@
         self.admission = Admission(
             reactor, self.state, self.teams, self, reads, writes, wall, least.value_bytes, self.integrity
         )
+        self.admission.on_cancelled = self._cancelled_here
+        self.invariants = InvariantMonitor()
         self.nonce = secrets.token_hex(8)
         life_s = deployment.workers.lease_s * LEADER_LEASE
         self.grace_s = blind_grace(deployment.workers, life_s)
@@ -300,13 +303,18 @@
             self.term.finish()
             self.term = None
 
+    def _cancelled_here(self, job: str, revision: int) -> None:
+        """A user of this node has cancelled a job: as the leader we know it from now on, not with the next watch."""
+        if self.term is not None:
+            self.term.watch.on_change(job, None, revision)
+
     def report(self, report: Report) -> Answer:
         """A worker's report: answered by the leader, referred to it by the others."""
         self.integrity.saw_token(report.token)
         if self.rebuild is not None and self.rebuild.rebuilder is not None:
             return self.rebuild.rebuilder.on_report(report)
         term = self.term
-        if term is not None and report.token > term.token:
+        if term is not None and term.tokens.is_later(report.token):
             self.election.doubt(f"{report.machine} knows token {report.token}")
             term = None
         if term is None:
@@ -346,6 +354,7 @@
             "confirmed": self.election.confirmed(),
             "machine_types": sorted(self.types),
             "settings": msgspec.to_builtins(self.operator_settings),
+            "invariants": self.invariants.status(),
             "budgets": {"leader_writes": round(self.leader_writes.level(), 1)},
         }
         if self.rebuild is not None:
--- a/stileloft/protocol/workers.py
+++ b/stileloft/protocol/workers.py
@@ -1,5 +1,6 @@
 """Direct commands to workers."""
 
+from collections.abc import Callable
 from typing import Any
 
 from stileloft.protocol.messages import MalformedError, Report, orders, parse_report
@@ -15,18 +16,23 @@
 
 
 class WorkerClient:
+    """Sends commands to workers."""
+
     def __init__(self, client: Client, timeout_s: float) -> None:
         self._client = client
         self._timeout_s = timeout_s
 
     async def command(
-        self, address: str, token: int, session: int, commands: list[dict[str, Any]]
+        self, address: str, token: int, session: int, commands: list[dict[str, Any]], is_wanted: Callable[[], bool]
     ) -> tuple[bool, Report]:
-        """Whether the commands were executed, and the worker's report."""
+        """Whether the commands were executed, and the worker's report.
+
+        `is_wanted` is asked just before they go out; if they are not wanted any more, they are not delivered.
+        """
         body = orders(token, commands)
         body["stint"] = session
         try:
-            reply = await self._client.request("POST", address, "/do", body, self._timeout_s)
+            reply = await self._client.request("POST", address, "/do", body, self._timeout_s, is_wanted)
         except ConnectionFailedError as error:
             raise NotDeliveredError(str(error)) from None
         except NoResponseError as error:
--- a/stileloft/rebuild/protection.py
+++ b/stileloft/rebuild/protection.py
@@ -119,6 +119,11 @@
     def saw_token(self, token: int) -> None:
         self.highest_token = max(self.highest_token, token)
 
+    def raised_token(self, token: int) -> None:
+        # After a loss, whoever led under the highest token that is known counts as the last leader.
+        self.led_token = max(self.led_token, token)
+        self.saw_token(token)
+
     def committed(self, puts: Mapping[str, Any], deletes: Iterable[str], revision: int, told: bool = True) -> None:
         if self.phase is not Phase.SOUND or self.identity is None:
             return
--- a/stileloft/transport/client.py
+++ b/stileloft/transport/client.py
@@ -14,20 +14,31 @@
 
 
 class ConnectionFailedError(Exception):
-    """The request was certainly not executed: no connection was made."""
+    """The request was certainly not executed: no connection was made, or its body was not sent."""
 
 
 class NoResponseError(Exception):
     """No usable answer: the request may have been executed, or may be later."""
 
 
+class _WithdrawnError(Exception):
+    """The caller does not want the request any more."""
+
+
 @implementer(IBodyProducer)
 class _Body:
-    def __init__(self, data: bytes) -> None:
+    """A request's body; `is_wanted` is asked when the connection is there, just before the body is sent."""
+
+    def __init__(self, data: bytes, is_wanted: Callable[[], bool]) -> None:
         self.data = data
         self.length = len(data)
+        self._is_wanted = is_wanted
+        self.withdrawn = False
 
     def startProducing(self, consumer: Any) -> defer.Deferred[None]:
+        if not self._is_wanted():
+            self.withdrawn = True
+            return defer.fail(_WithdrawnError())
         consumer.write(self.data)
         return defer.succeed(None)
 
@@ -91,9 +102,22 @@
         self._keep = keep
         self._agent = Agent.usingEndpointFactory(reactor, _Addresses(reactor, connect_s), pool=pool)
 
-    async def request(self, method: str, address: str, path: str, body: Any, timeout_s: float) -> Reply:
+    async def request(
+        self,
+        method: str,
+        address: str,
+        path: str,
+        body: Any,
+        timeout_s: float,
+        is_wanted: Callable[[], bool] = lambda: True,
+    ) -> Reply:
+        """Sends a request and waits for its answer.
+
+        To connect may take a while, or for as long as the process stands still. `is_wanted` is asked after that, and
+        says whether a body that was right when the request was made is still to be sent.
+        """
         url = f"http://{address}{path}".encode()
-        producer: Any = _Body(self._encode(body)) if body is not None else None
+        producer = _Body(self._encode(body), is_wanted) if body is not None else None
         headers = self._headers if producer is not None else self._plain
         # Decided for each request: a connection that is not kept is closed with its answer.
         self._pool.persistent = self._keep()
@@ -104,6 +128,8 @@
         except (error.ConnectError, error.ConnectingCancelledError) as failure:
             raise ConnectionFailedError(str(failure)) from None
         except Exception as failure:
+            if producer is not None and producer.withdrawn:
+                raise ConnectionFailedError("withdrawn before it was sent") from None
             raise NoResponseError(repr(failure)) from None
         finally:
             if timer.active():
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,8 +1,11 @@
 """What holds for all tests: the list of known failures, and property tests that draw the same examples at each run."""
 
+from collections.abc import Iterator
+
 import hypothesis
 import pytest
 
+from stileloft.coordination.invariants import Invariant, InvariantMonitor
 from tests import known_red
 
 # By default each run draws the same examples, so that its verdict is the same each time; how long an example takes
@@ -31,3 +34,17 @@
     """Prints what is known to fail, whether it was among the tests of this run or not."""
     for known in known_red.read():
         terminalreporter.write_line(f"known to fail: {known.test}: {known.cause} (issue {known.issue})")
+
+
+@pytest.fixture(autouse=True)
+def no_violations(monkeypatch: pytest.MonkeyPatch) -> Iterator[list[str]]:
+    """A violated invariant fails every test in which it appears; a test of the invariants themselves empties the
+    list."""
+    found: list[str] = []
+
+    def listen(invariant: Invariant, evidence: str) -> None:
+        found.append(f"{invariant.name}: {evidence}")
+
+    monkeypatch.setattr(InvariantMonitor, "listener", staticmethod(listen))
+    yield found
+    assert found == []
--- a/tests/simulation/clients.py
+++ b/tests/simulation/clients.py
@@ -39,7 +39,15 @@
     ) -> None:
         self.world, self.name, self.process, self.idle_s, self.keep = world, name, process, idle_s, keep
 
-    async def request(self, method: str, address: str, path: str, body: Any, timeout_s: float) -> Reply:  # noqa: C901 - one case a target
+    async def request(  # noqa: C901 - one case a target
+        self,
+        method: str,
+        address: str,
+        path: str,
+        body: Any,
+        timeout_s: float,
+        is_wanted: Callable[[], bool] = lambda: True,
+    ) -> Reply:
         world = self.world
         target = {"10.9.0.1:1": "state", "10.9.0.2:1": "cloud"}.get(address, address.partition(":")[0])
         if address.endswith(":8081"):
@@ -64,6 +72,8 @@
                 raise NoResponseError("silence")
             return machine.command(sent)
 
+        if not is_wanted():
+            raise version.connection_failed("withdrawn before it was sent")
         keep = self.keep()
         connections = world.connections[self.name]
         connections[address] = math.inf
