--- a/stileloft/bookkeeping/model.py
+++ b/stileloft/bookkeeping/model.py
@@ -1,7 +1,7 @@
 """The leader's picture: jobs, their tasks' placements, machines."""
 
 import functools
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -82,11 +82,16 @@
         """The whole chunk as one value; with its length, from format 1 on."""
         return separate_chunk(spec, self.inline_record(), size)
 
+    def _most_bytes(self, spec: JobSpec, size: int) -> int:
+        """No less than its own record takes, found without encoding its placements."""
+        empty = separate_chunk(spec, {"a": self.attempt, "d": [], "p": {}}, size)
+        ranges = len(self.done) + len(self.placements)
+        return records.size_of(empty) + placements_bytes(self.placements.values()) + records.RANGE_BYTES * ranges
+
     def records(self, spec: JobSpec, size: int, value_bytes: int) -> list[dict[str, Any]]:
         """The chunk as its own record and the further ones that it takes, each within the limit."""
         first = self.record(spec, size)
-        few = records.USUAL_BYTES_PER_TASK * (len(first["p"]) + len(first["d"])) + records.CHUNK_BYTES < value_bytes / 2
-        if few or records.size_of(first) <= value_bytes:
+        if self._most_bytes(spec, size) <= value_bytes or records.size_of(first) <= value_bytes:
             return [first]
         placed, first["p"] = first["p"], {}
         found = [first]
@@ -101,6 +106,14 @@
         return found
 
 
+def placements_bytes(placements: Iterable[Placement]) -> int:
+    """No less than placements take in a record, found without encoding them."""
+    return sum(
+        records.PLACEMENT_BYTES + records.most_bytes_of_text(p.machine) + records.most_bytes_of_text(p.zone)
+        for p in placements
+    )
+
+
 def separate_chunk(spec: JobSpec, inline: dict[str, Any], size: int | None) -> dict[str, Any]:
     """A chunk's own record, which also says what its tasks take: the job's record may be gone when it is read."""
     record = {"r": [spec.team, spec.cpus, spec.gpus or 0.0, spec.memory_gb], **inline}
@@ -229,13 +242,8 @@
         """No less than its record takes with its only chunk in it, found without encoding either."""
         placements = self.chunks[0].placements.values() if 0 in self.chunks else ()
         finished = len(self.chunks[0].done) if 0 in self.chunks else 0
-        names = sum(records.ESCAPED_BYTES * (len(p.machine) + len(p.zone)) for p in placements)
-        return (
-            self._empty_record_bytes
-            + names
-            + records.PLACEMENT_BYTES * len(placements)
-            + records.RANGE_BYTES * (finished + len(placements))
-        )
+        ranges = records.RANGE_BYTES * (finished + len(placements))
+        return self._empty_record_bytes + placements_bytes(placements) + ranges
 
     def add(self, placement: Placement) -> None:
         self.chunk_of(placement.index).placements[placement.index] = placement
--- a/stileloft/bookkeeping/records.py
+++ b/stileloft/bookkeeping/records.py
@@ -30,6 +30,8 @@
 import json
 from typing import Any, NamedTuple
 
+import orjson
+
 LEADER = "leader"
 SETTINGS = "settings"
 FORMAT = "format"
@@ -60,15 +62,18 @@
     return max(LEAST_PER_CHUNK, min(MOST_PER_CHUNK, int(value_kb * 1024 / 2 / BYTES_PER_TASK)))
 
 
-# The same as seen, and what a chunk's record takes beside its placements.
+# The same as seen, and what a chunk's record usually takes beside its placements.
 USUAL_BYTES_PER_TASK = 42
 # The same of machines and zones with rather long names.
 LONG_BYTES_PER_TASK = 56
 CHUNK_BYTES = 450
-# The most that a placement takes beside the names in it, that a character of a name takes, and that a range takes.
+# The most that a placement takes beside the names in it, and that a range takes.
 PLACEMENT_BYTES = 40
-ESCAPED_BYTES = 6
 RANGE_BYTES = 18
+# The most that a unit of UTF-16 takes in JSON, and how much longer than in UTF-8 a text can be with all but ASCII
+# escaped.
+ESCAPED_BYTES = 6
+ESCAPED_GROWTH = 3
 # A job's description must leave so much of a value for what is recorded of its course.
 COURSE_BYTES = 256
 
@@ -96,6 +101,18 @@
     return len(json.dumps(value))
 
 
+def most_bytes_of_text(text: str) -> int:
+    """No less than a text takes as JSON, without its quotes. A character beyond the basic plane takes two escapes."""
+    units = len(text) if text.isascii() else len(text.encode("utf-16-le", "surrogatepass")) // 2
+    return ESCAPED_BYTES * units
+
+
+def most_compact_bytes(value: Any) -> int:
+    """No less than a value takes as JSON without spaces, with all but ASCII escaped; faster than encoding it so."""
+    data = orjson.dumps(value)
+    return len(data) if data.isascii() else ESCAPED_GROWTH * len(data)
+
+
 def rented_key(slot: int) -> str:
     return f"{RENTED}{slot:04d}"
 
--- a/stileloft/coordination/ledger.py
+++ b/stileloft/coordination/ledger.py
@@ -7,7 +7,6 @@
 import logging
 from typing import TYPE_CHECKING, Any
 
-import orjson
 from twisted.internet import defer
 
 from stileloft.bookkeeping import records
@@ -57,7 +56,7 @@
 
     def add(self, entry: Entry) -> bool:
         """Adds an entry, unless the transaction would become too large."""
-        size = len(orjson.dumps([entry.puts, entry.guards]))
+        size = records.most_compact_bytes([entry.puts, entry.guards])
         guards = self._guards + len(entry.guards)
         if self.entries and (
             self.changes + entry.changes > self.most_changes
--- a/stileloft/rebuild/rebuilder.py
+++ b/stileloft/rebuild/rebuilder.py
@@ -6,7 +6,6 @@
 from typing import TYPE_CHECKING, Any
 
 import msgspec
-import orjson
 
 from stileloft.bookkeeping import records
 from stileloft.coordination.election import DRIFT
@@ -217,7 +216,7 @@
         size = 0
         # Ends come first: until they are there, a job that is over would look as if it had never been.
         for key in sorted(puts, key=lambda key: (not key.startswith(records.ENDED), key)):
-            length = len(orjson.dumps(puts[key])) + len(key)
+            length = records.most_compact_bytes(puts[key]) + len(key)
             if batch and (len(batch) >= most or size + length > TXN_BYTES):
                 yield batch, []
                 batch, size = {}, 0
--- a/tests/test_inline_records.py
+++ b/tests/test_inline_records.py
@@ -5,7 +5,7 @@
 from typing import Any
 
 import pytest
-from hypothesis import given
+from hypothesis import example, given
 from hypothesis import strategies as st
 
 from stileloft.bookkeeping import records
@@ -214,6 +214,7 @@
     assert [key for key in world.state.items if "j-000001" in key] == ["final/j-000001"]
 
 
+@example(spec={"pieces": 20, "bundle": "0"}, names=["\U00010000" * 4], done=set(), attempts=0)  # once too large
 @given(
     spec=st.fixed_dictionaries({"pieces": st.integers(1, 96), "bundle": st.text(min_size=1, max_size=40)}),
     names=st.lists(st.text(max_size=30), min_size=1, max_size=3),
@@ -233,3 +234,35 @@
         job.add(Placement(job.id, index, attempts, name, name[::-1], index % 2 == 0))
     record = job.record(True) | {records.INLINE_CHUNK: chunk.inline_record()}
     assert records.size_of(record) <= job.inline_record_bytes()
+
+
+NAMES = st.text(min_size=1, max_size=60)
+
+
+@example(
+    names=["\U00010000" * 40], placed=20, value_bytes=4096
+)  # taken for small by their number, and stored too large
+@given(names=st.lists(NAMES, min_size=1, max_size=3), placed=st.integers(0, 96), value_bytes=st.integers(2048, 16384))
+def test_a_chunks_records_are_within_the_limit_whatever_its_names(
+    names: list[str], placed: int, value_bytes: int
+) -> None:
+    job = Job(stored_spec(pieces=96), 1e9, 96)
+    for index in range(placed):
+        name = names[index % len(names)]
+        job.add(Placement("j-1", index, 10**6, name, name[::-1], index % 2 == 0))
+    values = job.chunk_of(0).records(job.spec, job.size, value_bytes)
+    assert all(records.size_of(value) <= value_bytes for value in values)
+    assert sum(len(value["p"]) for value in values) == placed
+
+
+@example(value="\U00010000" * 1000)
+@given(
+    value=st.recursive(
+        st.text() | st.integers(0, 10**9), lambda inner: st.lists(inner) | st.dictionaries(st.text(), inner)
+    )
+)
+def test_a_transactions_size_is_not_reckoned_too_small(value: Any) -> None:
+    """In UTF-8 a text takes a third of what it takes with all but ASCII escaped."""
+    escaped = json.dumps(value, separators=(",", ":"))
+    assert len(escaped) <= records.most_compact_bytes(value)
+    assert records.size_of(value) <= 2 * records.most_compact_bytes(value)
