--- a/stileloft/coordination/leader.py
+++ b/stileloft/coordination/leader.py
@@ -17,7 +17,9 @@
 from stileloft.coordination.job_watch import JobWatch
 from stileloft.coordination.ledger import Ledger
 from stileloft.coordination.lifecycle import TaskLifecycle
+from stileloft.coordination.pending import PendingCommands
 from stileloft.coordination.recovery import recover
+from stileloft.coordination.reports import Reports
 from stileloft.coordination.rounds import Rounds
 from stileloft.coordination.snapshot_builder import SnapshotBuilder
 from stileloft.coordination.tokens import FencingTokens
@@ -71,6 +73,8 @@
         self.invariants = node.invariants
         self.authority = Authority(self)
         self.ledger = Ledger(self)
+        self.pending = PendingCommands(self)
+        self.reports = Reports(self)
         self.dispatch = Dispatch(self)
         self.fleet = Fleet(self)
         self.tasks = TaskLifecycle(self)
@@ -207,7 +211,7 @@
         """Takes in a report whose worker must not count on us: before the store is read, or once we know too little."""
         if report.machine not in self.fleet.gone:
             with self.lock:
-                self.dispatch.observe(report)
+                self.reports.observe(report)
 
     def after_report(self) -> None:
         """Has written what a report has changed."""
--- a/stileloft/coordination/lifecycle.py
+++ b/stileloft/coordination/lifecycle.py
@@ -88,7 +88,7 @@
         if machine.placements.get(placement.key) is placement:
             del machine.placements[placement.key]
         if placement.seen == EXITED:
-            self._term.dispatch.forget_later(machine, placement.task, placement.attempt, placement.done)
+            self._term.pending.forget_later(machine, placement.task, placement.attempt, placement.done)
         if not machine.placements and not machine.strays and machine.idle_since is None:
             machine.idle_since = self._term.clock.seconds()
 
--- /dev/null
+++ b/stileloft/coordination/pending.py
@@ -0,0 +1,105 @@
+"""What a machine has to be told: the starts, stops and forgets that are due, as far as they are allowed now."""
+
+from typing import TYPE_CHECKING, Any
+
+from stileloft.bookkeeping.model import BOUND, Forget, Machine, Placement
+from stileloft.bookkeeping.starts import StartKey
+from stileloft.coordination.authority import Refusal
+from stileloft.protocol import messages
+
+if TYPE_CHECKING:
+    from stileloft.coordination.leader import Term
+
+# Commands in one direct message; a body may hold 64 KiB.
+MAX_COMMANDS = 200
+# A stop is repeated after this part of the report interval.
+REPEAT_STOP = 1.0
+# Attempts that were stopped are forgotten after this many leases.
+FORGET_LEASES = 4.0
+
+
+class PendingCommands:
+    """Finds what is due for a machine. All methods are called with the term's lock held."""
+
+    def __init__(self, term: "Term") -> None:
+        self.term = term
+        self.report_s = term.settings.workers.report_s
+
+    def starts(self, machine: Machine) -> list[Placement]:
+        """Placements whose task has to be started, or whose start has to be repeated."""
+        authority = self.term.authority
+        unseen = [p for p in machine.placements.values() if p.seen is None and p.state == BOUND]
+        if not unseen:
+            return []
+        refusal = authority.starts(machine)
+        if refusal is Refusal.NO_SPARE_TOKEN:
+            self.term.dispatch.fence.request_spare(machine, unseen)
+        if refusal is not None:
+            return []
+        return [p for p in unseen if authority.start(p, machine) is None]
+
+    def stops(self, machine: Machine, renewing: bool = False) -> list[dict[str, Any]]:
+        """What the machine has to stop; `renewing`: for an answer, which tells it of all jobs that are over."""
+        now = self.term.clock.seconds()
+        commands, others = [], []
+        for placement in machine.placements.values():
+            if placement.stop_grace is None or placement.state != BOUND:
+                continue
+            command = messages.stop(placement.task, placement.attempt, placement.stop_grace)
+            if renewing and self.term.cluster.is_over(placement.job):
+                # Whatever became of the stops before: the lease is renewed, so this answer has to carry one. This paces
+                # the repeats, and must be the clock of nothing else: it moves for as long as the machine reports.
+                placement.stop_at = now
+                commands.append(command)
+            elif now >= placement.stop_at + REPEAT_STOP * self.report_s and not (
+                placement.seen is None and placement.sent_session is None
+            ):
+                placement.stop_at = now
+                others.append(command)
+        commands += others
+        commands += [
+            messages.stop(task, stray.attempt, 0.0)
+            for task, stray in machine.strays.items()
+            if self.term.authority.stop_task(task) is None
+        ]
+        return commands
+
+    def forgets(self, machine: Machine, most: int) -> list[dict[str, Any]]:
+        """Exited tasks that the store no longer places here, at most so many.
+
+        None of which a start may still be executed: it would run a forgotten attempt again.
+        """
+        authority = self.term.authority
+        if not machine.forgets or authority.forgets(machine) is not None:
+            return []
+        now = self.term.clock.seconds()
+        due = [(task, entry) for task, entry in machine.forgets.items() if entry.due_at <= now][:most]
+        allowed = [(task, e.attempt) for task, e in due if not authority.forget(machine, task, e.attempt, e.done)]
+        if len(allowed) < len(due):
+            self.term.dispatch.fence.raise_for_forgets(machine, now)
+        for task, attempt in allowed:
+            del machine.forgets[task]  # what is reported again is forgotten again
+            machine.open_starts.drop(task, attempt)
+        return [messages.forget(task, attempt) for task, attempt in allowed]
+
+    def forget_later(self, machine: Machine, task: str, attempt: int, done: bool) -> None:
+        """Has an exited task forgotten that the store no longer places there.
+
+        A repeat of its start may still come, and would run a forgotten attempt again, perhaps beside a
+        newer one elsewhere. So attempts that were stopped stay known until the fence bars their starts, which is done
+        for many together; a task that is done only says so again.
+        """
+        known = machine.forgets.get(task)
+        if known is None or known.attempt != attempt:
+            wait_s = 0.0 if done else FORGET_LEASES * self.term.settings.workers.lease_s
+            machine.forgets[task] = Forget(attempt, self.term.clock.seconds() + wait_s, done)
+
+    def required_stops(self, machine: Machine) -> set[StartKey]:
+        """What an answer that renews the lease has to stop."""
+        return {
+            (p.task, p.attempt)
+            for p in machine.placements.values()
+            if p.state == BOUND and self.term.cluster.has_ended(p.job)
+        }
+
+    # -- commands ---------------------------------------------------------------
--- a/tests/test_overlapping_faults.py
+++ b/tests/test_overlapping_faults.py
@@ -666,7 +666,7 @@
         world.cut(machine.name, name, 90.0)
     known.renewed_at = world.now - 11.9
     machine.session += 1
-    term.dispatch.observe(messages.parse_report(machine.report()))
+    term.reports.observe(messages.parse_report(machine.report()))
     assert not term.fleet.session_over(known, world.now + 12.0)
     assert term.fleet.session_over(known, world.now + 1.2 * 12.0)
 
