--- a/stileloft/coordination/dispatch.py
+++ b/stileloft/coordination/dispatch.py
@@ -93,7 +93,7 @@
         fenced = self.fence.raise_token(machine, now)
         commands = term.pending.stops(machine, renewing=True)
         required = term.pending.required_stops(machine)
-        told = {(command["piece"], command["try"]) for command in commands[:MOST_IN_ANSWER]}
+        told = {(command["piece"], command["try"]) for command in commands[:MOST_IN_ANSWER]} if required else set()
         if not fenced or not required <= told:
             self.metrics.withheld_renewals += 1
             log.info("the lease of %s is not renewed: its answer cannot bar and stop all that is cancelled", machine.id)
