A message without starts goes out as long as the term lasts; a forget that waits for a spare token is no violation

Found on reading the change: stops made just before the leadership became unconfirmed were withdrawn at their connection, though a leader sends stops all the more when it knows less; and forgets on a quiet cluster would have counted as violated invariants.

--- a/stileloft/coordination/authority.py
+++ b/stileloft/coordination/authority.py
@@ -18,6 +18,7 @@
 class Refusal(StrEnum):
     """Why something is not allowed now."""
 
+    TERM_OVER = "the term is over"
     NOT_CONFIRMED = "the leadership is not confirmed"
     STORE_NOT_READ = "the store was not read yet"
     CANCELLATIONS_UNKNOWN = "it is not known well enough what was cancelled"
@@ -106,12 +107,13 @@
         return None if gangs.may_start(term.jobs[placement.job]) else Refusal.GANG_NOT_WHOLE
 
     def transmission(self, starts: list[Placement], machine: Machine) -> Refusal | None:
-        """A message that was made a moment ago, as its connection is there at last and its bytes go out."""
-        if refusal := self.commands():
-            return refusal
+        """A message that was made a moment ago, as its connection is there at last and its bytes go out.
+
+        Without starts it goes out as long as the term lasts: stops are wanted all the more when we know less.
+        """
         if not starts:
-            return None
-        if refusal := self.starts(machine):
+            return None if self._term.alive else Refusal.TERM_OVER
+        if refusal := self.commands() or self.starts(machine):
             return refusal
         return next((refusal for each in starts if (refusal := self.start(each, machine))), None)
 
--- a/stileloft/coordination/fence.py
+++ b/stileloft/coordination/fence.py
@@ -47,7 +47,8 @@
 
     def raise_for_forgets(self, machine: Machine, now: float) -> None:
         """Has attempts forgotten soon whose starts may still be executed; for many together, as it takes a report."""
-        if now - machine.token_raised_at > self._term.settings.workers.lease_s:
+        raised_lately = now - machine.token_raised_at <= self._term.settings.workers.lease_s
+        if not raised_lately and self._term.tokens.has_above(machine.token):
             self._raise(machine, now, "attempts are to be forgotten")
 
     def _raise(self, machine: Machine, now: float, reason: str) -> bool:
--- a/tests/test_fencing.py
+++ b/tests/test_fencing.py
@@ -179,6 +179,40 @@
     assert failures[0].check(ConnectionFailedError), "it is certain that it was not executed"
 
 
+def test_what_may_go_out_when_the_connection_is_there_at_last() -> None:
+    """Nothing after the term; stops while it lasts; starts only with everything that starts need."""
+    world = busy_world(36)
+    term = leading(world)
+    machine = next(m for m in term.machines.values() if m.placements)
+    placement = next(iter(machine.placements.values()))
+    assert term.authority.transmission([placement], machine) is Refusal.SEEN
+    placement.seen = None
+    assert term.authority.transmission([placement], machine) is None
+    term.tokens._spares.clear()
+    assert term.authority.transmission([placement], machine) is Refusal.NO_SPARE_TOKEN
+    term.node.election._confirmed_until = 0.0
+    assert term.authority.transmission([placement], machine) is Refusal.NOT_CONFIRMED
+    assert term.authority.transmission([], machine) is None
+    term.alive = False
+    assert term.authority.transmission([], machine) is Refusal.TERM_OVER
+
+
+def test_a_forget_that_waits_for_a_spare_token_is_no_violation(no_violations: list[str]) -> None:
+    world = busy_world(37)
+    term = leading(world)
+    machine = next(iter(term.machines.values()))
+    before = machine.token
+    term.tokens._spares.clear()
+    term.dispatch.fence.raise_for_forgets(machine, world.now)
+    assert machine.token == before and no_violations == []
+    term.tokens.committed(10**6)
+    term.dispatch.fence.raise_for_forgets(machine, world.now)
+    assert machine.token > before
+    term.tokens.committed(10**6 + 1)
+    term.dispatch.fence.raise_for_forgets(machine, world.now + 0.1)
+    assert machine.token == 10**6, "once a lease at the most, as it takes a report"
+
+
 def test_a_leader_knows_at_once_what_its_own_users_cancel() -> None:
     world = busy_world(33)
     term = leading(world)
