--- a/stileloft/coordination/fleet.py
+++ b/stileloft/coordination/fleet.py
@@ -286,7 +286,7 @@
                 continue
             batch = list(self.returning.values())[:RELEASE_LIMIT]
             try:
-                await term.cloud.release([machine.id for machine in batch])
+                await term.cloud.release([machine.id for machine in batch], lambda: not term.authority.release())
             except CloudError as error:
                 log.debug("returning %d machines: %s", len(batch), error)
                 await term.sleep(1.0)
@@ -350,7 +350,7 @@
             if term.authority.rental() is not None:
                 break
             try:
-                machines = await term.cloud.rent(request, name, zone, spot, count)
+                machines = await term.cloud.rent(request, name, zone, spot, count, lambda: not term.authority.rental())
                 if len(machines) < count:
                     self.refused[offer] = term.clock.seconds() + refused_s
                 break
--- a/stileloft/protocol/cloud.py
+++ b/stileloft/protocol/cloud.py
@@ -1,5 +1,6 @@
 """The client of the cloud that rents machines."""
 
+from collections.abc import Callable
 from dataclasses import dataclass
 
 import msgspec
@@ -32,17 +33,21 @@
 
 
 class CloudClient:
+    """Requests to the cloud. What changes something there is asked for once more when its connection is there."""
+
     def __init__(self, client: Client, address: str, timeout_s: float, budget: Budget) -> None:
         self._client = client
         self._address = address
         self._timeout_s = timeout_s
         self._budget = budget
 
-    async def _ask(self, method: str, path: str, body: object = None) -> Reply:
+    async def _ask(
+        self, method: str, path: str, body: object = None, is_wanted: Callable[[], bool] = lambda: True
+    ) -> Reply:
         if not self._budget.take():
             raise CloudError("own budget spent")
         try:
-            return await self._client.request(method, self._address, path, body, self._timeout_s)
+            return await self._client.request(method, self._address, path, body, self._timeout_s, is_wanted)
         except (ConnectionFailedError, NoResponseError) as error:
             raise CloudError(str(error)) from None
 
@@ -66,16 +71,20 @@
         machines = msgspec.convert(reply.body["hosts"], list[ListedMachine])
         return MachinePage(machines, bool(reply.body.get("more")) and bool(machines))
 
-    async def rent(self, request: str, type_name: str, zone: str, spot: bool, count: int) -> list[str]:
+    async def rent(
+        self, request: str, type_name: str, zone: str, spot: bool, count: int, is_wanted: Callable[[], bool]
+    ) -> list[str]:
+        """The machines rented under a request's name, which is never used for another request."""
         body = {"hire": request, "build": type_name, "yard": zone, "loaner": spot, "count": min(count, RENT_LIMIT)}
-        reply = await self._ask("POST", "/hosts", body)
+        reply = await self._ask("POST", "/hosts", body, is_wanted)
         if reply.status == 200:
             return list(reply.body["hosts"])
         if reply.status == 503 and isinstance(reply.body, dict) and reply.body.get("error") == "no capacity":
             raise NoCapacityError
         raise CloudError(f"status {reply.status}: {reply.body}")
 
-    async def release(self, machines: list[str]) -> None:
-        reply = await self._ask("POST", "/hosts/release", {"hosts": machines[:RELEASE_LIMIT]})
+    async def release(self, machines: list[str], is_wanted: Callable[[], bool]) -> None:
+        """Returns machines; once it has returned without an error, they and all on them are gone."""
+        reply = await self._ask("POST", "/hosts/release", {"hosts": machines[:RELEASE_LIMIT]}, is_wanted)
         if reply.status != 200:
             raise CloudError(f"status {reply.status}")
--- a/tests/test_fencing.py
+++ b/tests/test_fencing.py
@@ -213,6 +213,29 @@
     assert machine.token == 10**6, "once a lease at the most, as it takes a report"
 
 
+def test_rentals_and_returns_are_asked_for_again_when_their_connection_is_there() -> None:
+    """A leader that was replaced meanwhile would rent twice, or return what its successor uses."""
+    world = busy_world(38)
+    term = leading(world)
+    asked: list[str] = []
+    wire = term.cloud._client
+    plain = wire.request
+
+    async def connecting(method: str, address: str, path: str, body: Any, timeout_s: float, is_wanted: Any) -> Any:
+        asked.append(path)
+        term.node.election._confirmed_until = 0.0  # its lease ends while the connection is made
+        return await plain(method, address, path, body, timeout_s, is_wanted)
+
+    machines = set(world.cloud.machines)
+    wire.request = connecting
+    term.fleet.give_back(next(iter(term.machines.values())), "a test")
+    world.run(0.1)
+    term.node.election._confirm(world.now)
+    term.fleet._request_machines(("small", "a", True), 1)
+    world.run(0.1)
+    assert asked == ["/hosts/release", "/hosts"] and set(world.cloud.machines) == machines
+
+
 def test_a_leader_knows_at_once_what_its_own_users_cancel() -> None:
     world = busy_world(33)
     term = leading(world)
