--- a/stileloft/coordination/leader.py
+++ b/stileloft/coordination/leader.py
@@ -142,9 +142,10 @@
             for machine in sorted(self.machines.values(), key=lambda machine: not machine.placements):
                 self.dispatch.send(machine)
         log.info(
-            "took over %d jobs and %d machines in %.2f s",
+            "took over %d jobs and %d machines at revision %d in %.2f s",
             len(self.jobs),
             len(self.machines),
+            self.watch.revision,
             self.clock.seconds() - self.started_at,
         )
         defer.ensureDeferred(self.watch.run())
