Stops that an answer has no room for move no clock of the direct ones; invariants take evidence as log lines do

Direct messages marked more stops as sent than they held. Change: what is required is counted first; only stops that go out are marked, in one place. A new test has 600 tasks stopped in less than a lease and another job's task go on. Invariants are checked with a text and its arguments in place of closures.

--- a/stileloft/bookkeeping/model.py
+++ b/stileloft/bookkeeping/model.py
@@ -433,7 +433,7 @@
     known_token: int = 0
     """The highest that its worker has seen, by its newest report: it executes nothing under a lower one."""
     open_starts: OpenStarts = field(default_factory=OpenStarts)
-    fenced_starts: dict[str, int] = field(default_factory=dict)
+    barred_starts: dict[str, int] = field(default_factory=dict)
     """Tasks, with their attempts, whose start was barred in this session before it was executed."""
     errors: set[str] = field(default_factory=set)
     error_count: int = 0
--- a/stileloft/coordination/dispatch.py
+++ b/stileloft/coordination/dispatch.py
@@ -90,19 +90,17 @@
         not renewed; direct commands stop the rest, and if they don't come through, the end of the lease does.
         """
         term = self.term
-        fenced = self.fence.raise_token(machine, now)
-        commands = term.pending.stops(machine, renewing=True)
         required = term.pending.required_stops(machine)
-        told = {(command["piece"], command["try"]) for command in commands[:MOST_IN_ANSWER]} if required else set()
-        if not fenced or not required <= told:
+        if not self.fence.raise_token(machine, now) or len(required) > MOST_IN_ANSWER:
             self.metrics.withheld_renewals += 1
             log.info("the lease of %s is not renewed: its answer cannot bar and stop all that is cancelled", machine.id)
             self.send(machine)
             return messages.orders(NO_TOKEN, [])
+        commands = term.pending.stops(machine, MOST_IN_ANSWER, renewing=True)
+        told = {(command["piece"], command["try"]) for command in commands} if required else set()
         if not self.fence.check_renewal(machine, told):
             return messages.orders(NO_TOKEN, [])
         machine.renewed_at = now
-        commands = commands[:MOST_IN_ANSWER]
         commands += term.pending.forgets(machine, MOST_IN_ANSWER - len(commands))
         return messages.orders(machine.token, commands)
 
@@ -122,7 +120,7 @@
             return
         self.fence.raise_token(machine, now)
         starts = term.pending.starts(machine)[:MAX_COMMANDS]
-        commands = term.pending.stops(machine)[:MAX_COMMANDS]
+        commands = term.pending.stops(machine, MAX_COMMANDS)
         known = machine.trusted and (self.reaches(machine, now) or not machine.reported)
         known = known and not self.fence.is_overdue(machine, now)
         if not commands and not starts and (known or not self._worth_claiming(machine)):
--- a/stileloft/coordination/fence.py
+++ b/stileloft/coordination/fence.py
@@ -55,14 +55,17 @@
         tokens, invariants = self._term.tokens, self._term.invariants
         token = tokens.issue_above(machine.token)
         if token is None:
-            invariants.check(
-                False, Invariant.NO_START_WITHOUT_SPARE_TOKEN, lambda: f"{machine.id}, token {machine.token}: {reason}"
+            return invariants.check(
+                False, Invariant.NO_START_WITHOUT_SPARE_TOKEN, "%s, token %d: %s", machine.id, machine.token, reason
             )
-            return False
         if not invariants.check(
             token > max(machine.token, machine.known_token if machine.trusted else 0),
             Invariant.TOKENS_RISE,
-            lambda: f"{machine.id} knows {machine.known_token}, was told {machine.token}, would be told {token}",
+            "%s knows %d, was told %d, would be told %d",
+            machine.id,
+            machine.known_token,
+            machine.token,
+            token,
         ):
             return False
         log.info("machine %s gets token %d after %d: %s", machine.id, token, machine.token, reason)
@@ -77,20 +80,24 @@
     def take_report(self, machine: Machine, tasks: list[TaskReport]) -> None:
         """Takes in what a believed report shows: starts under a lower token, or of a former session, are void."""
         machine.open_starts.drop_refused(machine.session, machine.known_token)
-        if machine.fenced_starts:
+        if machine.barred_starts:
             for task in tasks:
                 self._term.invariants.check(
-                    machine.fenced_starts.get(task.task) != task.attempt,
+                    machine.barred_starts.get(task.task) != task.attempt,
                     Invariant.FENCED_STAYS_FENCED,
-                    lambda task=task: f"{task.task} attempt {task.attempt} is {task.state} on {machine.id}",  # type: ignore[misc]
+                    "%s attempt %d is %s on %s",
+                    task.task,
+                    task.attempt,
+                    task.state,
+                    machine.id,
                 )
 
     def barred(self, machine: Machine, placement: Placement) -> None:
         """The worker does not report a task, and has seen a higher token than any that its start had."""
         self.starts_barred += 1
-        machine.fenced_starts[placement.task] = placement.attempt
-        while len(machine.fenced_starts) > BARRED_KEPT:
-            del machine.fenced_starts[next(iter(machine.fenced_starts))]
+        machine.barred_starts[placement.task] = placement.attempt
+        while len(machine.barred_starts) > BARRED_KEPT:
+            del machine.barred_starts[next(iter(machine.barred_starts))]
 
     def request_spare(self, machine: Machine, unseen: list[Placement]) -> None:
         """Has a record written once more, as the revision of that transaction is a token for the fence."""
@@ -115,42 +122,30 @@
 
     def check_renewal(self, machine: Machine, stopped: set[StartKey]) -> bool:
         """Whether an answer that stops these attempts may renew the lease: the bound on a cancelled task holds."""
-        jobs = self._term.jobs
-        for p in machine.placements.values():
-            job = jobs.get(p.job)
-            if p.state != BOUND or (job is not None and job.over is None):
+        jobs, check = self._term.jobs, self._term.invariants.check
+        for placement in machine.placements.values():
+            job = jobs.get(placement.job)
+            if placement.state != BOUND or (job is not None and job.over is None):
                 continue
-            start = machine.open_starts.get(p.task, p.attempt)
-            if not self._term.invariants.check(
-                (p.task, p.attempt) in stopped,
-                Invariant.RENEWAL_STOPS,
-                lambda p=p: f"{p.task} attempt {p.attempt} on {machine.id}",  # type: ignore[misc]
-            ):
+            key = placement.task, placement.attempt
+            if not check(key in stopped, Invariant.RENEWAL_STOPS, "%s attempt %d on %s", *key, machine.id):
                 return False
-            if not self._term.invariants.check(
-                p.seen is not None or start is None or start.token < machine.token,
-                Invariant.RENEWAL_FENCES,
-                lambda p=p, start=start: f"{p.task} attempt {p.attempt} on {machine.id}: {start}",  # type: ignore[misc]
-            ):
+            start = machine.open_starts.get(*key)
+            fenced = placement.seen is not None or start is None or start.token < machine.token
+            if not check(fenced, Invariant.RENEWAL_FENCES, "%s attempt %d on %s: %s", *key, machine.id, start):
                 return False
         return True
 
     def check_transmission(self, machine: Machine, starts: list[Placement]) -> bool:
         """Whether starts may go out now: their jobs go on, and the fence could bar them at once."""
-        jobs = self._term.jobs
-        for p in starts:
-            job = jobs.get(p.job)
-            if not self._term.invariants.check(
-                job is not None and job.over is None,
-                Invariant.NO_START_AFTER_END,
-                lambda p=p: f"{p.task} attempt {p.attempt} to {machine.id}",  # type: ignore[misc]
-            ):
+        jobs, check = self._term.jobs, self._term.invariants.check
+        for placement in starts:
+            job = jobs.get(placement.job)
+            goes_on = job is not None and job.over is None
+            if not check(goes_on, Invariant.NO_START_AFTER_END, "%s to %s", placement.task, machine.id):
                 return False
-        return self._term.invariants.check(
-            not starts or self._term.tokens.has_above(machine.token),
-            Invariant.NO_START_WITHOUT_SPARE_TOKEN,
-            lambda: f"{len(starts)} starts to {machine.id} under token {machine.token}",
-        )
+        can_fence = not starts or self._term.tokens.has_above(machine.token)
+        return check(can_fence, Invariant.NO_START_WITHOUT_SPARE_TOKEN, "%s, token %d", machine.id, machine.token)
 
     def status(self) -> dict[str, Any]:
         """What the administration API shows of the tokens."""
--- a/stileloft/coordination/invariants.py
+++ b/stileloft/coordination/invariants.py
@@ -39,10 +39,13 @@
         self.violations: Counter[Invariant] = Counter()
         self._evidence: deque[str] = deque(maxlen=EVIDENCE_KEPT)
 
-    def check(self, holds: bool, invariant: Invariant, evidence: Callable[[], str]) -> bool:
-        """Takes note if an invariant does not hold; returns whether it does. Evidence is made only if it does not."""
+    def check(self, holds: bool, invariant: Invariant, evidence: str, *arguments: Any) -> bool:
+        """Takes note if an invariant does not hold; returns whether it does.
+
+        The evidence is formatted as a log line is, and only if it is needed.
+        """
         if not holds:
-            self._violated(invariant, evidence())
+            self._violated(invariant, evidence % arguments)
         return holds
 
     def _violated(self, invariant: Invariant, evidence: str) -> None:
--- a/stileloft/coordination/pending.py
+++ b/stileloft/coordination/pending.py
@@ -38,31 +38,36 @@
             return []
         return [p for p in unseen if authority.start(p, machine) is None]
 
-    def stops(self, machine: Machine, renewing: bool = False) -> list[dict[str, Any]]:
-        """What the machine has to stop; `renewing`: for an answer, which tells it of all jobs that are over."""
+    def stops(self, machine: Machine, most: int, renewing: bool = False) -> list[dict[str, Any]]:
+        """What the machine has to stop, at most so many.
+
+        `renewing`: for an answer that renews its lease, in which the tasks of all jobs that are over come first.
+        """
         now = self.term.clock.seconds()
-        commands, others = [], []
+        required: list[Placement] = []
+        others: list[Placement] = []
         for placement in machine.placements.values():
             if placement.stop_grace is None or placement.state != BOUND:
                 continue
-            command = messages.stop(placement.task, placement.attempt, placement.stop_grace)
-            if renewing and self.term.cluster.is_over(placement.job):
-                # Whatever became of the stops before: the lease is renewed, so this answer has to carry one. This paces
-                # the repeats, and must be the clock of nothing else: it moves for as long as the machine reports.
-                placement.stop_at = now
-                commands.append(command)
-            elif now >= placement.stop_at + REPEAT_STOP * self.report_s and not (
-                placement.seen is None and placement.sent_session is None
-            ):
-                placement.stop_at = now
-                others.append(command)
-        commands += others
-        commands += [
+            if renewing and self.term.cluster.has_ended(placement.job):
+                required.append(placement)  # whatever became of the stops before
+            elif now >= placement.stop_at + REPEAT_STOP * self.report_s and not self._was_never_sent(placement):
+                others.append(placement)
+        commands = []
+        for placement in (required + others)[:most]:
+            # It paces the repeats, and must be the clock of nothing else: it moves for as long as the machine reports.
+            placement.stop_at = now
+            commands.append(messages.stop(placement.task, placement.attempt, placement.stop_grace or 0.0))
+        strays = [
             messages.stop(task, stray.attempt, 0.0)
             for task, stray in machine.strays.items()
             if self.term.authority.stop_task(task) is None
         ]
-        return commands
+        return commands + strays[: most - len(commands)]
+
+    @staticmethod
+    def _was_never_sent(placement: Placement) -> bool:
+        return placement.seen is None and placement.sent_session is None
 
     def forgets(self, machine: Machine, most: int) -> list[dict[str, Any]]:
         """Exited tasks that the store no longer places here, at most so many.
@@ -101,5 +106,3 @@
             for p in machine.placements.values()
             if p.state == BOUND and self.term.cluster.has_ended(p.job)
         }
-
-    # -- commands ---------------------------------------------------------------
--- a/stileloft/coordination/reports.py
+++ b/stileloft/coordination/reports.py
@@ -17,8 +17,10 @@
 
 
 class Reports:
-    """Takes in reports, in the order in which their workers made them. All methods are called with the term's lock
-    held."""
+    """Takes in reports, in the order in which their workers made them.
+
+    All methods are called with the term's lock held.
+    """
 
     def __init__(self, term: "Term") -> None:
         self.term = term
@@ -42,7 +44,7 @@
         self._take_token(machine, report.token, new_session, now)
         machine.reported = True
         if new_session:
-            machine.fenced_starts.clear()
+            machine.barred_starts.clear()
             machine.forgets.clear()
             machine.strays.clear()
             machine.view = None
--- a/tests/test_fencing.py
+++ b/tests/test_fencing.py
@@ -152,6 +152,20 @@
     assert world.rules.broken == [] and world.rules.where == {}
 
 
+def test_more_stops_than_an_answer_holds_go_directly_in_time() -> None:
+    """Each answer that can't carry them moves no clock of the direct ones; so nobody else's tasks pay with their
+    lease."""
+    world = World(seed=39, loss=0.0, value_kb=16.0)
+    world.submit(world.job(1, pieces=MOST_IN_ANSWER + 100, vcpus=0.01, memGb=0.01, guessS=900.0))
+    world.submit(world.job(2, pieces=1, vcpus=0.5, memGb=0.5, guessS=900.0))
+    world.run(60)
+    assert max(len(machine.tasks) for machine in world.cloud.machines.values()) > MOST_IN_ANSWER
+    world.cancel("j-000001")
+    run_watched(world, 0.6 * World.LEASE_S)
+    assert set(world.rules.where) == {"j-000002/0"} and world.sessions_lost == 0
+    assert world.rules.starts_by_task["j-000002/0"] == 1
+
+
 def test_a_start_is_asked_for_again_when_its_connection_is_there() -> None:
     """To connect takes a while: a start whose job was cancelled meanwhile must not go out."""
     reactor = MemoryReactorClock()
@@ -364,10 +378,10 @@
 
 def test_violations_are_counted_and_bounded(caplog: pytest.LogCaptureFixture, no_violations: list[str]) -> None:
     monitor = InvariantMonitor()
-    assert monitor.check(True, Invariant.TOKENS_RISE, lambda: "never asked for")
+    assert monitor.check(True, Invariant.TOKENS_RISE, "%d", "a text that would not fit")
     with caplog.at_level(logging.ERROR):
         for number in range(LOGGED_OF_A_KIND + 50):
-            assert not monitor.check(False, Invariant.TOKENS_RISE, lambda number=number: f"case {number}")
+            assert not monitor.check(False, Invariant.TOKENS_RISE, "case %d", number)
     assert len(caplog.records) == LOGGED_OF_A_KIND and "case 0" in caplog.text
     shown = monitor.status()
     assert shown["violations"] == {"TOKENS_RISE": LOGGED_OF_A_KIND + 50} and len(shown["newest"]) == EVIDENCE_KEPT
@@ -383,5 +397,5 @@
     term.dispatch.fence.barred(machine, Placement(task.job, task.index, task.attempt, machine.id, "a", True))
     world.run(5)
     assert no_violations and no_violations[0].startswith(Invariant.FENCED_STAYS_FENCED.name)
-    assert Machine("n").fenced_starts == {}
+    assert Machine("n").barred_starts == {}
     no_violations.clear()
