Soak: controllers' ports lie below those that the system gives out

The port was chosen, let go of, and then given to one of the run's own fakes, which ask for any. A loopback address of its own, the first mending, was not enough. Change: ports are taken from below the system's range; a test asks for 400 ports meanwhile.

--- a/tests/loopback_cluster.py
+++ b/tests/loopback_cluster.py
@@ -37,7 +37,8 @@
 
 ROOT = Path(__file__).parent.parent
 # A loopback address of this process's own: on the usual one, another run or any outgoing connection could take a port
-# between its choice here and the controller's start, which then ended with "address already in use".
+# between its choice here and the controller's start, which then ended with "address already in use". So could the
+# run's own fakes, if it was one of those that the system gives out.
 LOCAL = f"127.{10 + (os.getpid() >> 16) % 200}.{os.getpid() >> 8 & 255}.{os.getpid() & 255}"
 POLL_S = 0.5
 CANCEL_AFTER_S = 1.5
@@ -45,13 +46,22 @@
 REBUILT = re.compile(r"rebuilt in ([0-9.]+) s and ([0-9]+) transactions")
 
 
+# Below the ports that the system gives to whoever asks for any, as the fakes here do.
+FIRST_PORT, LAST_PORT = 20_000, 30_000
+
+
 def free_ports(count: int) -> list[int]:
-    """Ports that nobody listens on at the moment."""
-    taken = [socket.create_server((LOCAL, 0)) for _ in range(count)]
-    ports = [each.getsockname()[1] for each in taken]
-    for each in taken:
-        each.close()
-    return ports
+    """Ports that nobody listens on at the moment, and that nobody is given who asks for any."""
+    ports: list[int] = []
+    for port in range(FIRST_PORT, LAST_PORT):
+        try:
+            socket.create_server((LOCAL, port)).close()
+        except OSError:
+            continue
+        ports.append(port)
+        if len(ports) == count:
+            return ports
+    raise RuntimeError(f"fewer than {count} free ports at {LOCAL}")
 
 
 class FakeResource(resource.Resource):
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -144,3 +144,15 @@
     assert result["failures"] == [] and done.returncode == 0, done.stderr
     assert result["cancelled"] > 0 and result["starts"] > 0 and result["logged"]["elections"] > 0
     assert 0.0 <= result["longest_part"] <= 1.0
+
+
+def test_a_controllers_port_is_not_given_to_anybody_else_meanwhile() -> None:
+    """It was: one of the fakes of the same run was given it, and a controller ended as it could not listen."""
+    code = (
+        "import socket; from tests.loopback_cluster import LOCAL, free_ports\n"
+        "chosen = set(free_ports(6))\n"
+        "given = [socket.create_server((LOCAL, 0)) for _ in range(400)]\n"
+        "print(len(chosen), sorted(chosen & {each.getsockname()[1] for each in given}))"
+    )
+    done = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, cwd=ROOT)
+    assert done.stdout.split("\n")[0] == "6 []", done.stderr
