--- a/tests/held_starts.py
+++ b/tests/held_starts.py
@@ -73,6 +73,16 @@
     return [job["nameId"] for job in jobs]
 
 
+def hold_and_cancel(world: World, least_s: float = 45.0, most_s: float = 60.0) -> list[str]:
+    """Small jobs whose starts are held, and which are then cancelled."""
+    world.holds.append(Hold(world.now + 6.0, least_s, most_s, verb="launch"))
+    jobs = submit_small_jobs(world)
+    world.run(CANCEL_AT_S)
+    for job in jobs:
+        world.cancel(job)
+    return jobs
+
+
 def run_watched(world: World, seconds: float) -> None:
     """Lets time pass, with an eye on what runs of cancelled jobs."""
     end = world.now + seconds
--- a/tests/test_fencing.py
+++ b/tests/test_fencing.py
@@ -20,7 +20,7 @@
 from stileloft.features import Features, RebuildFeature
 from stileloft.protocol import messages
 from stileloft.transport.client import Client, ConnectionFailedError
-from tests.held_starts import busy_world, run_watched, submit_small_jobs
+from tests.held_starts import busy_world, hold_and_cancel, run_watched, submit_small_jobs
 from tests.simulation.network import Hold
 from tests.simulation.world import World
 from tests.versions import NEW, production
@@ -301,11 +301,7 @@
 
 def cancel_held(world: World) -> None:
     """Starts are held, their jobs cancelled, and tokens raised for that."""
-    world.holds.append(Hold(world.now + 6.0, 45.0, 60.0, verb="launch"))
-    jobs = submit_small_jobs(world)
-    world.run(4)
-    for job in jobs:
-        world.cancel(job)
+    hold_and_cancel(world)
     world.run(4)
     assert leading(world).tokens.issued > 0
 
@@ -347,11 +343,7 @@
     """Without it the answer would break the bound: it is refused, and the end of the lease bars the start."""
     monkeypatch.setattr(Fence, "raise_token", lambda *_: True)
     world = busy_world(45)
-    world.holds.append(Hold(world.now + 6.0, 45.0, 60.0, verb="launch"))
-    jobs = submit_small_jobs(world)
-    world.run(4)
-    for job in jobs:
-        world.cancel(job)
+    hold_and_cancel(world)
     run_watched(world, 80.0)
     assert {line.partition(":")[0] for line in no_violations} == {Invariant.RENEWAL_FENCES.name}
     assert world.rules.broken == [] and world.sessions_lost > 0
@@ -365,11 +357,7 @@
     monkeypatch.setattr(Authority, "start", lambda _, placement, __: None if placement.state == BOUND else Refusal.SEEN)
     monkeypatch.setattr(Authority, "transmission", lambda *_: None)
     world = busy_world(46)
-    world.holds.append(Hold(world.now + 6.0, 45.0, 60.0, verb="launch"))
-    jobs = submit_small_jobs(world)
-    world.run(4)
-    for job in jobs:
-        world.cancel(job)
+    hold_and_cancel(world)
     run_watched(world, 60.0)
     assert Invariant.NO_START_AFTER_END.name in {line.partition(":")[0] for line in no_violations}
     assert world.rules.broken == []
--- a/tests/test_held_starts.py
+++ b/tests/test_held_starts.py
@@ -5,8 +5,7 @@
 
 import pytest
 
-from tests.held_starts import MEETINGS, SMALL_JOBS, busy_world, play, run_watched, submit_small_jobs
-from tests.simulation.network import Hold
+from tests.held_starts import MEETINGS, SMALL_JOBS, busy_world, hold_and_cancel, play, run_watched
 
 HELD = [name for name, meeting in MEETINGS.items() if meeting.hold is MEETINGS["reports go on"].hold]
 """Meetings in which the starts themselves are held, for longer than their jobs' cancellation may take."""
@@ -16,11 +15,7 @@
 def test_a_start_that_was_held_up_does_not_run_after_its_jobs_cancellation(seed: int) -> None:
     """The incident: the machine goes on reporting, each answer carries a stop, and the start comes after them all."""
     world = busy_world(seed)
-    world.holds.append(Hold(world.now + 6.0, 45.0, 80.0, verb="launch"))
-    jobs = submit_small_jobs(world)
-    world.run(4)
-    for job in jobs:
-        world.cancel(job)
+    jobs = hold_and_cancel(world, 45.0, 80.0)
     run_watched(world, 100.0)
     assert set(jobs) <= world.rules.cancelled_at.keys()
     assert world.rules.broken == []
@@ -45,7 +40,6 @@
 
 def test_a_start_that_is_hours_late_is_refused() -> None:
     world = busy_world(4)
-    world.holds.append(Hold(world.now + 6.0, 7200.0, 7200.0, verb="launch"))
     held: list[Callable[[], Any]] = []
     send = world.send
 
@@ -55,10 +49,7 @@
         return send(source, target, work, held_s)
 
     world.send = sending  # type: ignore[method-assign]
-    jobs = submit_small_jobs(world)
-    world.run(4)
-    for job in jobs:
-        world.cancel(job)
+    hold_and_cancel(world, 7200.0, 7200.0)
     run_watched(world, 60.0)
     assert held, "nothing was held"
     starts, refused = world.rules.starts, world.rules.refused_starts["token"]
