--- a/tests/soak/cluster.py
+++ b/tests/soak/cluster.py
@@ -22,7 +22,7 @@
 
 # Jobs are submitted this often, and each of them is asked about, submitted again or cancelled again this often.
 SUBMIT_S = 0.6
-PESTER_S = 0.25
+ASK_S = 0.25
 LONG_JOBS = 4
 # A job that is called off runs for long; if it is not, it is short.
 LONG_S = 300.0
@@ -174,7 +174,7 @@
             reactor.callLater(number * SUBMIT_S, self._submit, number)
         for trouble in self.plan.troubles:
             reactor.callLater(trouble.at_s, self._start, trouble)
-        reactor.callLater(PESTER_S, self._pester)
+        reactor.callLater(ASK_S, self._keep_asking)
         reactor.callLater(1.0, self._look_after)
 
     def _submit(self, number: int, **changes: Any) -> str:
@@ -201,9 +201,9 @@
     def _accepted(self, job: str, _result: Any) -> None:
         self._poll(job)
 
-    def _pester(self) -> None:
+    def _keep_asking(self) -> None:
         """Users ask about old and new jobs at all nodes, submit them again, and cancel again what they cancelled."""
-        reactor.callLater(PESTER_S, self._pester)
+        reactor.callLater(ASK_S, self._keep_asking)
         jobs = list(self.jobs)
         for job in self.random.sample(jobs, min(3, len(jobs))):
             asks = [self._question(job), self._question(job), self._submission(self.jobs[job])]
@@ -320,23 +320,23 @@
         for number in range(trouble.count):
             reactor.callLater(number * trouble.for_s, lambda: self._end_process(self.leader(), 0.2))
 
-    def _stand_still(self, name: str | None, for_s: float) -> None:
+    def _pause_process(self, name: str | None, for_s: float) -> None:
         if name is None or name in self.ended_by_us:
             return
         process = self.processes[name]
         process.send_signal(signal.SIGSTOP)
-        reactor.callLater(for_s, self._go_on, process)
+        reactor.callLater(for_s, self._resume, process)
 
     @staticmethod
-    def _go_on(process: Any) -> None:
+    def _resume(process: Any) -> None:
         if process.poll() is None:
             os.kill(process.pid, signal.SIGCONT)
 
     def _pause(self, trouble: Trouble) -> None:
-        self._stand_still(trouble.target, trouble.for_s)
+        self._pause_process(trouble.target, trouble.for_s)
 
     def _pause_leader(self, trouble: Trouble) -> None:
-        self._stand_still(self.leader(), min(trouble.for_s, 8.0))
+        self._pause_process(self.leader(), min(trouble.for_s, 8.0))
 
     def _fault(self, trouble: Trouble, source: str, target: str, mode: str) -> None:
         until = self.now + trouble.for_s
