--- a/tests/test_fencing.py
+++ b/tests/test_fencing.py
@@ -3,6 +3,7 @@
 import logging
 from typing import Any
 
+import orjson
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
@@ -292,7 +293,9 @@
     assert shown["starts_in_doubt"] >= shown["in_doubt_now"] > 0 and shown["starts_sent"] > shown["starts_answered"]
     row = shown["in_doubt"][0]
     assert row["first_sent_at"] < row["in_doubt_since"] <= world.now and row["token"] > 0 and row["session"] == 1
-    assert leading(world).node.status()["invariants"] == {"violations": {}, "newest": []}
+    told = orjson.loads(orjson.dumps(leading(world).node.status()))  # as the administration API tells it
+    assert told["invariants"] == {"violations": {}, "newest": []} and told["term"]["commands"] == shown
+    assert told["term"]["knowledge"]["watch_revision"] > 0
 
 
 # -- versions, and a lost store
