--- a/review/1/case.py
+++ b/review/1/case.py
@@ -10,9 +10,9 @@
 from deployment import KUOROVUORO, Deployment, case, running
 from wire import call
 
-FREEZE_S = 4.0
+FREEZE_S = 3.0
 """How long a controller stands still."""
-NEXT_PLAN_S, PLAN_WITHIN_S = 1.985, 0.2
+NEXT_PLAN_S, PLAN_WITHIN_S, ONE_PLAN_S = 1.985, 0.2, 0.5
 """A leader plans scaling every 2 s: the first cycle that long after a rental also plans scaling."""
 LAST_FREEZE_S = 33.0
 """No freeze begins later, in seconds after the start."""
@@ -63,21 +63,26 @@
     rent = deployment.cloud.rent
 
     names: set[str] = set()
+    planned_at = -NEXT_PLAN_S
 
     def observed(body: Any) -> Any:
-        if body["hire"] not in names:  # not a repeated request, which says nothing about the time of a plan
-            names.add(body["hire"])
+        nonlocal planned_at
+        # A repeated request says nothing about the time of a plan, nor does a further one of the same plan.
+        if body["hire"] not in names and deployment.now() > planned_at + ONE_PLAN_S:
+            planned_at = deployment.now()
             hired.set()
+        names.add(body["hire"])
         return rent(body)
 
     deployment.cloud.rent = observed  # type: ignore[method-assign]
     went_on: dict[str, float] = {}
     while deployment.now() < LAST_FREEZE_S and len(went_on) < len(deployment.members):
-        hired.clear()
+        if deployment.now() > planned_at + NEXT_PLAN_S:
+            hired.clear()
         try:
             async with asyncio.timeout(max(0.0, LAST_FREEZE_S - deployment.now())):
                 await hired.wait()
-                await asyncio.sleep(NEXT_PLAN_S)
+                await asyncio.sleep(planned_at + NEXT_PLAN_S - deployment.now())
         except TimeoutError:
             break
         freezer.stopped, freezer.armed = None, True
