Cluster lock: a leader paused while it applies a scaling plan no longer waits for itself

Cause: ensureDeferred runs a coroutine up to its first wait. `_provision` asks for the lease before its first request; if it has ended by then there is nothing to wait for, and the coroutine goes on, within `apply_scaling`, to acquire the lock that its caller holds.

Evidence: in a run with PYTHONFAULTHANDLER=1 each of the three silent controllers, sent SIGABRT, shows its main thread in `with self._cluster.lock` of `_provision`, called through ensureDeferred by `_apply`, which holds the lock; state sleeping, no processor time in a second.

Mend: components that may hold the lock start coroutines with `background.start_without`, at once or right after the lock's release; all six that are started under the lock do (scale-out, scale-in, commits, command delivery, reloads, the query of peers, which ran to its end under the lock in a deployment without peers). All other coroutines are started by `background.start`, which logs their errors.

--- a/stileloft/controller/controller.py
+++ b/stileloft/controller/controller.py
@@ -35,6 +35,7 @@
 from stileloft.settings import Settings, split_address
 from stileloft.store.integrity import StoreIntegrity
 from stileloft.store.record_format import RecordFormat
+from stileloft.transport import background
 from stileloft.transport.client import Client
 from stileloft.transport.clock import WallClock
 from stileloft.transport.server import Response, Router, make_site, retry_later
@@ -177,11 +178,11 @@
 
     def begin(self) -> None:
         """Starts the background work: watches of the store and the cloud, and the election."""
-        defer.ensureDeferred(self.catalog.run())
-        defer.ensureDeferred(self.operator_settings.run())
-        defer.ensureDeferred(self.record_format.follow(self.clients.state, self.reactor))
-        defer.ensureDeferred(self.state_service_check.run())
-        defer.ensureDeferred(self.election.run())
+        background.start("machine types", self.catalog.run())
+        background.start("operator settings", self.operator_settings.run())
+        background.start("record format", self.record_format.follow(self.clients.state, self.reactor))
+        background.start("state service check", self.state_service_check.run())
+        background.start("election", self.election.run())
         if self.rebuild is not None:
             self.rebuild.start()
 
--- a/stileloft/jobs/shared_scan.py
+++ b/stileloft/jobs/shared_scan.py
@@ -7,6 +7,7 @@
 from stileloft.jobs.user_store import UserStore
 from stileloft.model import records
 from stileloft.protocol.state import PAGE_SIZE
+from stileloft.transport import background
 from stileloft.transport.clock import Clock
 
 GATHER_S = 0.25
@@ -30,7 +31,7 @@
         waiting: defer.Deferred[dict[str, Any]] = defer.Deferred()
         self._waiting.append(waiting)
         if len(self._waiting) == 1:
-            self._clock.callLater(GATHER_S, lambda: defer.ensureDeferred(self._scan()))
+            self._clock.callLater(GATHER_S, lambda: background.start("shared scan", self._scan()))
         return waiting
 
     async def _scan(self) -> None:
--- a/stileloft/leadership/election.py
+++ b/stileloft/leadership/election.py
@@ -8,8 +8,6 @@
 from collections.abc import Callable
 from typing import Any
 
-from twisted.internet import defer
-
 from stileloft.model import records
 from stileloft.protocol.state import (
     CompactedError,
@@ -21,6 +19,7 @@
     UnknownOutcomeError,
 )
 from stileloft.store.integrity import StoreIntegrity
+from stileloft.transport import background
 from stileloft.transport.clock import MAX_CLOCK_DRIFT, Clock
 from stileloft.transport.retry import RetryPolicy, repeat
 from stileloft.transport.timers import sleep
@@ -116,7 +115,7 @@
         log.info("leader stepped down member=%s reason=%r", self._member, reason)
         self._on_deposed(reason)
         if lease is not None:
-            defer.ensureDeferred(self._end_lease(lease))
+            background.start("end of lease", self._end_lease(lease))
 
     async def _end_lease(self, lease: int) -> None:
         with contextlib.suppress(UnavailableError, UnknownOutcomeError):  # the lease then expires by itself
--- a/stileloft/leadership/leader.py
+++ b/stileloft/leadership/leader.py
@@ -3,12 +3,11 @@
 import logging
 from typing import Any
 
-from twisted.internet import defer
-
 from stileloft.leadership.leader_components import LeaderComponents
 from stileloft.model.machines import Machine
 from stileloft.protocol.commands import CommandMessage
 from stileloft.protocol.messages import Heartbeat
+from stileloft.transport import background
 
 log = logging.getLogger(__name__)
 
@@ -23,7 +22,7 @@
 
     def begin(self) -> None:
         """Starts the takeover, which goes on in the background."""
-        defer.ensureDeferred(self._take_over())
+        background.start("takeover", self._take_over())
 
     def end(self) -> None:
         """Ends the leadership: nothing is decided, sent or stored afterwards."""
@@ -32,7 +31,7 @@
 
     async def _take_over(self) -> None:
         """Recovers the state from the store, claims the known machines, and starts the periodic work."""
-        defer.ensureDeferred(self.inventory.run())
+        background.start("machine inventory", self.inventory.run())
         if not await self.failover.run():
             return
         with self.cluster.lock:
@@ -47,11 +46,11 @@
             self.watch.revision,
             self._clock.seconds() - self.lease.began_at,
         )
-        defer.ensureDeferred(self.watch.run())
-        defer.ensureDeferred(self.images.run())
-        defer.ensureDeferred(self.upgrade.run())
+        background.start("job watch", self.watch.run())
+        background.start("image records", self.images.run())
+        background.start("format upgrade", self.upgrade.run())
         if self._environment.integrity.detects_loss:
-            defer.ensureDeferred(self.unresolved_tasks.run())
+            background.start("unresolved tasks", self.unresolved_tasks.run())
         self._check_machines()
         self.request_scheduling()
 
--- a/stileloft/leadership/leader_components.py
+++ b/stileloft/leadership/leader_components.py
@@ -214,7 +214,7 @@
         self.supervisor = MachineSupervisor(
             self.cluster,
             self.lease,
-            PartitionDetector(self.lease, env.peers, clock, self.timeouts, lease_s),
+            PartitionDetector(self.cluster.lock, self.lease, env.peers, clock, self.timeouts, lease_s),
             self.boots,
             self.worker_leases,
             self.releaser,
--- a/stileloft/machines/partition_detector.py
+++ b/stileloft/machines/partition_detector.py
@@ -1,11 +1,11 @@
 """Distinguishes a failure of most machines from a partition between them and the leader."""
 
-from twisted.internet import defer
-
 from stileloft.leadership.lease import LeaderLease
 from stileloft.machines.timeouts import FailureTimeouts
+from stileloft.model.cluster_lock import ClusterLock
 from stileloft.model.machines import Machine
 from stileloft.protocol.peers import PeerClient
+from stileloft.transport import background
 from stileloft.transport.clock import Clock
 
 PARTITION_FRACTION = 0.25
@@ -16,8 +16,15 @@
     """Queries the peers when most machines fall silent at once, and steps down if the machines reach the peers."""
 
     def __init__(
-        self, lease: LeaderLease, peers: PeerClient, clock: Clock, timeouts: FailureTimeouts, worker_lease_s: float
+        self,
+        lock: ClusterLock,
+        lease: LeaderLease,
+        peers: PeerClient,
+        clock: Clock,
+        timeouts: FailureTimeouts,
+        worker_lease_s: float,
     ) -> None:
+        self._lock = lock
         self._lease = lease
         self._peers = peers
         self._clock = clock
@@ -38,7 +45,7 @@
         suspected = len(up) > 1 and len(silent) * 2 > len(up) and now > self._failures_confirmed_until
         if suspected and not self._query_in_flight:
             self._query_in_flight = True
-            defer.ensureDeferred(self._query_peers(silent))
+            background.start_without(self._lock, "query of peers", self._query_peers, silent)
         return suspected
 
     def _last_heartbeat_at(self, machine: Machine) -> float:
--- a/stileloft/machines/scale_in.py
+++ b/stileloft/machines/scale_in.py
@@ -3,8 +3,6 @@
 import logging
 from collections.abc import Callable
 
-from twisted.internet import defer
-
 from stileloft.jobs.task_lifecycle import TaskLifecycle
 from stileloft.leadership.authority import Authority
 from stileloft.leadership.lease import LeaderLease
@@ -13,6 +11,7 @@
 from stileloft.model.cluster import ClusterState
 from stileloft.model.machines import Machine
 from stileloft.protocol.cloud import RELEASE_LIMIT, CloudClient, CloudError
+from stileloft.transport import background
 from stileloft.transport.clock import Clock
 from stileloft.transport.timers import sleep
 
@@ -67,7 +66,7 @@
         log.info("scale-in queued machine=%s reason=%r", machine.id, reason)
         self._queue[machine.id] = machine
         if len(self._queue) == 1:
-            defer.ensureDeferred(self._release_queued())
+            background.start_without(self._cluster.lock, "scale-in", self._release_queued)
 
     async def _release_queued(self) -> None:
         """Releases machines until the queue is empty, many per request, because the cloud limits the request rate."""
--- a/stileloft/machines/scale_out.py
+++ b/stileloft/machines/scale_out.py
@@ -3,8 +3,6 @@
 import logging
 from collections.abc import Callable
 
-from twisted.internet import defer
-
 from stileloft.leadership.authority import Authority
 from stileloft.leadership.lease import LeaderLease
 from stileloft.machines.boot_monitor import BootMonitor
@@ -13,6 +11,7 @@
 from stileloft.model.cluster import ClusterState
 from stileloft.protocol.cloud import PROVISION_LIMIT, CloudClient, CloudError, NoCapacityError
 from stileloft.scheduling.instance_offers import InstanceOffer
+from stileloft.transport import background
 from stileloft.transport.clock import Clock
 from stileloft.transport.timers import sleep
 
@@ -72,7 +71,7 @@
         self._requests += 1
         request = f"{self._request_prefix}-{self._requests}"
         self.pending[request] = (offer, count)
-        defer.ensureDeferred(self._provision(request, offer, count))
+        background.start_without(self._cluster.lock, "scale-out", self._provision, request, offer, count)
 
     async def _provision(self, request: str, offer: InstanceOffer, count: int) -> None:
         machine_type, zone, spot = offer
--- a/stileloft/model/cluster.py
+++ b/stileloft/model/cluster.py
@@ -1,9 +1,9 @@
 """The leader's state of the cluster: jobs, machines, nominations, and which jobs have unwritten changes."""
 
 import itertools
-import threading
 from collections.abc import Iterable
 
+from stileloft.model.cluster_lock import ClusterLock
 from stileloft.model.jobs import Job
 from stileloft.model.machines import Machine
 from stileloft.model.nominations import Nomination
@@ -15,8 +15,8 @@
     """The leader's in-memory state of the cluster, without I/O. Every access is made with the lock held."""
 
     def __init__(self) -> None:
-        self.lock = threading.Lock()
-        """Held during every access, and never during I/O."""
+        self.lock = ClusterLock()
+        """Held during every access, and never during I/O; components start coroutines without it."""
         self.loaded = False
         """Whether the store has been read since the leadership began."""
         self.jobs: dict[str, Job] = {}
--- a/stileloft/rebuild/change_broadcast.py
+++ b/stileloft/rebuild/change_broadcast.py
@@ -4,20 +4,17 @@
 lost if that controller and the store failed together.
 """
 
-import logging
 from collections.abc import Iterable, Mapping
 from typing import Any
 
 import msgspec
-from twisted.internet import defer
 
 from stileloft.model import records
 from stileloft.rebuild.change_notice import MAX_CHANGES, ChangeNotice, is_announced
 from stileloft.rebuild.environment import RebuildEnvironment
 from stileloft.rebuild.replica import RecordChange
 from stileloft.rebuild.store_status import StoreStatus
-
-log = logging.getLogger(__name__)
+from stileloft.transport import background
 
 # Changes within this window share a message.
 BATCH_WINDOW_S = 0.02
@@ -51,8 +48,4 @@
 
     def _send_to(self, address: str, notice: ChangeNotice) -> None:
         sent = self._environment.peers.send_change_notice(address, msgspec.to_builtins(notice))
-        defer.ensureDeferred(sent).addErrback(
-            lambda failure: log.error(
-                "sending of change notice failed peer=%s error=%s", address, failure.getTraceback()
-            )
-        )
+        background.start(f"change notice to {address}", sent)
--- a/stileloft/rebuild/service.py
+++ b/stileloft/rebuild/service.py
@@ -5,7 +5,6 @@
 
 import msgspec
 from msgspec import UNSET
-from twisted.internet import defer
 
 from stileloft.model import records
 from stileloft.protocol.messages import Heartbeat
@@ -23,6 +22,7 @@
 from stileloft.rebuild.status_report import RebuildReport, ReplicaReport
 from stileloft.rebuild.store_status import StoreStatus
 from stileloft.rebuild.token_history import TokenHistory
+from stileloft.transport import background
 from stileloft.transport.server import Response
 
 log = logging.getLogger(__name__)
@@ -53,8 +53,8 @@
 
     def start(self) -> None:
         """Starts the background loops that check the store and follow its changes."""
-        defer.ensureDeferred(self._detector.run())
-        defer.ensureDeferred(self._follower.run())
+        background.start("loss detector", self._detector.run())
+        background.start("replica follower", self._follower.run())
 
     # -- leading a rebuild ------------------------------------------------------------
 
@@ -66,7 +66,7 @@
         """Starts a rebuild, as the leader with this fencing token."""
         parts = RebuildParts(self._environment, self.store, self.tokens, self.replicas, self.snapshots, self._detector)
         self._rebuilder = Rebuilder(parts, token, lambda: self._finish(token))
-        defer.ensureDeferred(self._rebuilder.run())
+        background.start("rebuild", self._rebuilder.run())
 
     def _finish(self, token: int) -> None:
         self._rebuilder = None
--- a/stileloft/store/commit_queue.py
+++ b/stileloft/store/commit_queue.py
@@ -8,8 +8,6 @@
 from collections.abc import Callable
 from typing import Any
 
-from twisted.internet import defer
-
 from stileloft.leadership.fencing_tokens import FencingTokens
 from stileloft.leadership.lease import LeaderLease
 from stileloft.model import records
@@ -25,8 +23,8 @@
 from stileloft.store.job_write_set_builder import JobWriteSetBuilder
 from stileloft.store.leader_store import LeaderStore
 from stileloft.store.transaction_batch import JOB_END_CHANGES, TransactionBatch
+from stileloft.transport import background
 from stileloft.transport.clock import Clock
-from stileloft.transport.timers import sleep
 
 log = logging.getLogger(__name__)
 
@@ -190,7 +188,7 @@
             for number in write_set.chunks:
                 write_set.job.chunks[number].dirty = False
         self._in_flight += 1
-        defer.ensureDeferred(self._commit(batch.write_sets))
+        background.start_without(self._cluster.lock, "commit", self._commit, batch.write_sets)
 
     async def _commit(self, write_sets: list[JobWriteSet]) -> None:
         guards = self._lease.guard()
@@ -204,9 +202,6 @@
         try:
             if puts or deletes:
                 revision = await self._store.client.commit(guards, puts, deletes)
-            else:
-                # The caller holds the cluster's lock: `_record_executed`, which acquires it, must run after the caller.
-                await sleep(self._clock, 0.0)
         except ConflictError as conflict:
             self._resolve_conflict(write_sets, conflict)
         except TooLargeError as error:
--- a/stileloft/store/job_reloader.py
+++ b/stileloft/store/job_reloader.py
@@ -4,8 +4,6 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from twisted.internet import defer
-
 from stileloft.jobs.registry import JobRegistry
 from stileloft.jobs.task_lifecycle import TaskLifecycle
 from stileloft.model import records
@@ -15,6 +13,7 @@
 from stileloft.model.placements import Placement, PlacementState
 from stileloft.protocol.state import ConflictError, Item, UnavailableError, UnknownOutcomeError
 from stileloft.store.leader_store import LeaderStore
+from stileloft.transport import background
 from stileloft.transport.clock import Clock
 from stileloft.transport.timers import sleep
 
@@ -64,7 +63,7 @@
         job.write.commit_in_flight = True
         if not job.reload_pending:
             job.reload_pending = True
-            defer.ensureDeferred(self._reload(job))
+            background.start_without(self._cluster.lock, "job reload", self._reload, job)
 
     async def _reload(self, job: Job) -> None:
         lease = self._store.lease
--- a/stileloft/transport/server.py
+++ b/stileloft/transport/server.py
@@ -6,9 +6,10 @@
 from http import HTTPStatus
 from typing import Any
 
-from twisted.internet import defer
 from twisted.web import resource, server
 
+from stileloft.transport import background
+
 log = logging.getLogger(__name__)
 
 BODY_LIMIT = 64 * 1024
@@ -145,7 +146,7 @@
             if not disconnected:
                 self._send(request, answer)
 
-        defer.ensureDeferred(send())
+        background.start("response", send())
 
     def _send_internal_error(self, request: server.Request) -> None:
         """Logs the current exception, and answers with status 503 and a Retry-After header."""
--- a/stileloft/workers/dispatcher.py
+++ b/stileloft/workers/dispatcher.py
@@ -5,13 +5,13 @@
 from typing import Any
 
 import msgspec
-from twisted.internet import defer
 
 from stileloft.leadership.authority import Authority
 from stileloft.model.cluster import ClusterState
 from stileloft.model.machines import Machine
 from stileloft.model.placements import Placement
 from stileloft.protocol.commands import Command, StartCommand, StopCommand
+from stileloft.transport import background
 from stileloft.transport.clock import Clock
 from stileloft.workers.command_metrics import CommandMetrics
 from stileloft.workers.command_planner import CommandPlanner
@@ -104,7 +104,7 @@
             placement.sent_epoch = batch.epoch
             machine.inflight_starts.record_sent(placement.task, placement.attempt, now, batch.token, batch.epoch)
         self._claims_in_flight += is_claim
-        defer.ensureDeferred(self._deliver(batch))
+        background.start_without(self._cluster.lock, "command delivery", self._deliver, batch)
 
     async def _deliver(self, batch: CommandBatch) -> None:
         machine = batch.machine
