Amounts: one job with a tiny amount no longer stops all renting

Cause: how many tasks fit into an amount is a quotient turned into an integer. By a tiny amount of a user it is infinite, int() raises OverflowError, and the whole scheduling cycle ends, with the placements and plans of all jobs. The log shows it every 2 s: `scheduling cycle failed`, in Resources.slots.

Mend: whole_quotient bounds the quotient by a million, above the most tasks of a job, before it becomes an integer. All three such quotients use it: slots, _slots_within (fails if processors and memory are both tiny) and promote_aged_jobs (fails in every cycle while such a job is aged). Expected run times and image fetches are bounded by 1e9 s: an estimate above 4e307 could become infinite, and NaN for a job without processors, which leaves the queue of all jobs in no order. No job is refused that was accepted before.

--- a/stileloft/model/resources.py
+++ b/stileloft/model/resources.py
@@ -7,7 +7,7 @@
 EPSILON = 1e-6
 """Tolerance of comparisons, because sums of amounts are not exact."""
 UNBOUNDED_SLOTS = 1_000_000
-"""Number of tasks for which a resource that the tasks do not request counts as having room."""
+"""Number of tasks for which a resource that the tasks do not request, or hardly request, counts as having room."""
 
 
 class ResourceAmounts(Protocol):
@@ -61,13 +61,21 @@
         return max(
             0,
             min(
-                int((self.cpus + EPSILON) / spec.cpus) if spec.cpus else unbounded,
-                int((self.memory_gb + EPSILON) / spec.memory_gb) if spec.memory_gb else unbounded,
-                int((self.gpus + EPSILON) / spec.gpus) if spec.gpus else unbounded,
+                whole_quotient(self.cpus + EPSILON, spec.cpus) if spec.cpus else unbounded,
+                whole_quotient(self.memory_gb + EPSILON, spec.memory_gb) if spec.memory_gb else unbounded,
+                whole_quotient(self.gpus + EPSILON, spec.gpus) if spec.gpus else unbounded,
             ),
         )
 
 
+def whole_quotient(amount: float, per_task: float) -> int:
+    """Returns the whole part of a quotient whose divisor is not 0, within plus and minus `UNBOUNDED_SLOTS`.
+
+    Users may request any positive amount, and the quotient by a tiny one is infinite, which has no integer.
+    """
+    return int(max(-UNBOUNDED_SLOTS, min(amount / per_task, UNBOUNDED_SLOTS)))
+
+
 def requested(spec: JobSpec) -> Resources:
     """Returns the resources of one task of a job."""
     return Resources(spec.cpus, spec.gpus or 0.0, spec.memory_gb)
--- a/stileloft/scheduling/machine_scoring.py
+++ b/stileloft/scheduling/machine_scoring.py
@@ -26,6 +26,8 @@
 ON_DEMAND_PENALTY_S = 2.0
 # Lower bound of the fetch rate, for machine types that state none.
 MIN_FETCH_GB_PER_S = 1e-3
+# Upper bound of the time of an image fetch, so that sums and products of times stay finite.
+MAX_FETCH_S = 1e9
 
 
 @dataclass(frozen=True, slots=True)
@@ -45,14 +47,19 @@
         return cls(smallest, max(sizes, default=0.0), any(spec.cpus > smallest for spec in waiting))
 
 
+def exclusive_fetch_s(spec: JobSpec, machine_type: MachineType) -> float:
+    """Returns the seconds that a machine of this type takes to fetch the task's image, without other fetches."""
+    return min(MAX_FETCH_S, spec.image_gb / max(machine_type.fetch_gb_per_s, MIN_FETCH_GB_PER_S))
+
+
 def image_fetch_s(spec: JobSpec, machine: MachineView) -> float:
     """Returns the expected seconds until the machine has the task's image."""
     if spec.image in machine.images:
         return 0.0
-    exclusive_fetch_s = spec.image_gb / max(machine.type.fetch_gb_per_s, MIN_FETCH_GB_PER_S)
+    fetch_s = exclusive_fetch_s(spec, machine.type)
     if spec.image in machine.fetching:
-        return exclusive_fetch_s  # the fetch is under way, but may share the rate with other fetches
-    return exclusive_fetch_s * (1 + len(machine.fetching))  # concurrent fetches share the rate
+        return fetch_s  # the fetch is under way, but may share the rate with other fetches
+    return fetch_s * (1 + len(machine.fetching))  # concurrent fetches share the rate
 
 
 def placement_cost(
--- a/stileloft/scheduling/queue_order.py
+++ b/stileloft/scheduling/queue_order.py
@@ -1,5 +1,6 @@
 """The order in which waiting jobs are served: priority aging, priority, fair share, deadline and submission."""
 
+from stileloft.model.resources import whole_quotient
 from stileloft.scheduling.machine_view import PREEMPTION_EXEMPT_RANK
 from stileloft.scheduling.snapshot import PendingJob, Snapshot
 
@@ -53,7 +54,7 @@
         job.promoted = available_cpus > 0 or not job.started
         requested_cpus = (job.waiting_count if job.started else 1) * job.spec.cpus
         if job.promoted and not job.spec.is_gang:
-            max_tasks = max(1, int(available_cpus / job.spec.cpus)) if job.started and job.spec.cpus else 1
+            max_tasks = max(1, whole_quotient(available_cpus, job.spec.cpus)) if job.started and job.spec.cpus else 1
             if max_tasks < job.waiting_count:
                 snapshot.pending_jobs.append(job.split(max_tasks))
         available_cpus -= requested_cpus
--- a/stileloft/scheduling/scaling_criteria.py
+++ b/stileloft/scheduling/scaling_criteria.py
@@ -3,9 +3,10 @@
 from collections.abc import Iterable
 
 from stileloft.model.machines import fits_type
+from stileloft.model.resources import whole_quotient
 from stileloft.protocol.messages import JobSpec, MachineType
 from stileloft.scheduling.constraints import machine_allowed
-from stileloft.scheduling.machine_scoring import MIN_FETCH_GB_PER_S
+from stileloft.scheduling.machine_scoring import exclusive_fetch_s
 from stileloft.scheduling.machine_view import MachineView
 from stileloft.scheduling.scheduling_cycle import UnmetDemand
 from stileloft.scheduling.snapshot import PendingJob, Snapshot
@@ -35,7 +36,7 @@
     """Returns the shortest time for boot and image fetch of a new machine for the job; 0 if no type fits."""
     return min(
         (
-            machine_type.boot_s + spec.image_gb / max(machine_type.fetch_gb_per_s, MIN_FETCH_GB_PER_S)
+            machine_type.boot_s + exclusive_fetch_s(spec, machine_type)
             for machine_type in types
             if fits_type(spec, machine_type)
         ),
@@ -94,4 +95,4 @@
         if task.remaining_s <= horizon_s:
             cpus += task.cpus
             memory_gb += task.memory_gb
-    return int(min(cpus / spec.cpus, memory_gb / spec.memory_gb))
+    return min(whole_quotient(cpus, spec.cpus), whole_quotient(memory_gb, spec.memory_gb))
--- a/stileloft/scheduling/workload.py
+++ b/stileloft/scheduling/workload.py
@@ -25,6 +25,8 @@
 # Bounds of the ratio of run time to estimate, so that a single outlier does not distort later estimates.
 MIN_RUN_TIME_RATIO, MAX_RUN_TIME_RATIO = 0.1, 4.0
 MIN_ESTIMATE_S = 0.5
+# Longer estimates count as this, so that sums and products of times stay finite.
+MAX_ESTIMATE_S = 1e9
 MIN_INTERARRIVAL_S = 0.1
 
 
@@ -107,7 +109,8 @@
 
     def estimated_run_time_s(self, spec: JobSpec) -> float:
         """Returns a task's expected run time in seconds: the job's estimate corrected by its class's run times."""
-        return max(MIN_ESTIMATE_S, spec.estimate_s * self._ratios.get(spec.job_class, 1.0))
+        estimate_s = spec.estimate_s * self._ratios.get(spec.job_class, 1.0)
+        return max(MIN_ESTIMATE_S, min(estimate_s, MAX_ESTIMATE_S))
 
     def record_submission(self, spec: JobSpec, submitted_at: float) -> None:
         """Updates the statistics of the job's class."""
