Preemption: a job that needs very long to save no longer keeps its room for good

What callers saw (found while looking for other amounts of one accepted job that end something for others): a job states `stashS` 1000, 1e9 or 1.7e308; production work that needs its room waits until it has saved, in effect for ever, as the task stays nominated to that machine.

Cause: the grace of a stop was 1.2 times the stated time, without a bound, and infinite from 1.5e308 on.

Mend: a task whose grace would exceed 240 s, within which jobs should begin, is stopped at once and goes on later from its last periodic checkpoint.

--- a/stileloft/jobs/task_lifecycle.py
+++ b/stileloft/jobs/task_lifecycle.py
@@ -25,6 +25,8 @@
 """The default grace of a stop, as a multiple of the job's stated time to save a checkpoint."""
 STOP_MARGIN_S = 0.5
 """Added to the default grace of a stop, in seconds."""
+MAX_GRACE_S = 240.0
+"""Longest default grace, in seconds: a task that needs more is stopped at once, as others wait for its room."""
 RECLAIM_RESERVE_S = 1.0
 """A checkpoint is begun only if it would be saved more than this long before the reclaim, in seconds."""
 MIN_REMAINING_FRACTION = 0.1
@@ -147,14 +149,15 @@
             self._clock.callLater(0, self._send_commands, machine)
 
     def _default_grace_s(self, job_id: str) -> float:
-        """Returns the time that a task gets to save a checkpoint, in seconds."""
+        """Returns the time that a task gets to save a checkpoint, in seconds; 0 if it needs more than `MAX_GRACE_S`."""
         job = self._cluster.jobs.get(job_id)
         if job is None or not job.spec.checkpoint_s:
             return STOP_MARGIN_S
         save_s = job.spec.save_s or 0.0
         if job.spec.is_gang and save_s:
             save_s += self._timings.gang_peer_s  # a task that has saved waits for the others of its gang
-        return save_s * SAVE_TIME_FACTOR + STOP_MARGIN_S
+        grace_s = save_s * SAVE_TIME_FACTOR + STOP_MARGIN_S
+        return grace_s if grace_s <= MAX_GRACE_S else 0.0
 
     def evict_gracefully(self, machine: Machine, now: float) -> None:
         """Stops tasks on a machine that the cloud is about to reclaim, so that as little work as possible is lost."""
--- a/tests/test_extreme_amounts.py
+++ b/tests/test_extreme_amounts.py
@@ -163,3 +163,19 @@
     assert caplog.records == []
     assert cluster.checker.violations == []
     assert {cluster.checker.last_phase.get(job) for job in cluster.jobs} == {"done"}
+
+
+@pytest.mark.parametrize("save_s", [1000.0, 1e9, LARGEST])
+def test_a_job_that_needs_very_long_to_save_does_not_keep_its_room_from_more_pressing_work(save_s: float) -> None:
+    # Guards against one accepted job that cannot be preempted: its grace was as long as the time it asks for to save.
+    cluster = SimulatedCluster(8, capacity=1, loss=0.0)
+    only_machine = {"builds": ["small"], "yard": "a", "loaner": False, "pieces": 1, "vcpus": 8.0}
+    cluster.submit(
+        cluster.job(1, shape="gang", urgency="idle", guessS=9000.0, snapshotS=5.0, stashS=save_s, **only_machine)
+    )
+    cluster.run(90)
+    assert cluster.checker.last_phase["j-000001"] == "running"
+    cluster.submit(cluster.job(2, urgency="production", guessS=5.0, **only_machine))
+    cluster.run(60)
+    assert cluster.checker.violations == []
+    assert cluster.checker.last_phase["j-000002"] == "done"
