Submissions: a job id with a line break at its end is refused

No path can hold such an id, so nobody could ask about the job or cancel it, and reading its record failed again and again. PROTOCOL: "`nameId`: unique job id, always in this form"; an invalid field gets 400.

Only the submission is checked as a whole; the pattern for stored records stays, so that a record of such a job, if there is one, can still be read.

Test: test_a_job_id_with_a_line_break_at_its_end_is_refused failed before.

--- a/stileloft/protocol/messages.py
+++ b/stileloft/protocol/messages.py
@@ -5,6 +5,7 @@
 """
 
 import math
+import re
 from enum import StrEnum
 from typing import Annotated, Any, Literal
 
@@ -14,7 +15,8 @@
 
 from stileloft.protocol.errors import MalformedError
 
-JOB_ID = r"^j-[0-9]{1,30}$"
+JOB_ID = r"j-[0-9]{1,30}"
+JOB_ID_PATTERN = re.compile(JOB_ID)
 MAX_TASKS = 100_000
 REQUIRED_FIELDS = ("accelerators", "snapshotS", "stashS", "together", "spread", "loaner")
 """Fields that a submission must contain; they have defaults because stored records omit zero and false.
@@ -123,7 +125,7 @@
 class JobSpec(Struct, frozen=True, omit_defaults=True):
     """A job's specification, as its user submitted it."""
 
-    id: Annotated[str, Meta(pattern=JOB_ID)] = field(name="nameId")
+    id: Annotated[str, Meta(pattern=f"^{JOB_ID}$")] = field(name="nameId")
     job_class: Name = field(name="lane")
     team: Name = field(name="crew")
     kind: Literal["array", "gang", "standing"] = field(name="shape")
@@ -171,6 +173,8 @@
         spec = msgspec.convert(body, JobSpec)
     except msgspec.ValidationError as error:
         raise MalformedError(str(error)) from None
+    if not is_job_id(spec.id):
+        raise MalformedError("nameId is not of the form j- and up to 30 digits")
     if not _is_finite(spec):
         raise MalformedError("an amount is not finite")
     if spec.cpus == 0 and not spec.gpus:
@@ -178,6 +182,11 @@
     return spec
 
 
+def is_job_id(text: str) -> bool:
+    """Returns whether a text is a job id as a whole; `$` in the pattern of `JobSpec` also allows a final line break."""
+    return JOB_ID_PATTERN.fullmatch(text) is not None
+
+
 def _is_finite(spec: JobSpec) -> bool:
     """Returns whether all amounts are finite; msgspec's bounds accept infinity and NaN."""
     amounts = (
--- a/stileloft/protocol/users.py
+++ b/stileloft/protocol/users.py
@@ -7,7 +7,7 @@
 from typing import Any, Protocol
 
 from stileloft.protocol.errors import MalformedError, RequestError
-from stileloft.protocol.messages import JOB_ID, Heartbeat, JobSpec, parse_heartbeat, parse_job
+from stileloft.protocol.messages import Heartbeat, JobSpec, is_job_id, parse_heartbeat, parse_job
 from stileloft.transport.server import Arguments, Handler, Response, Route, retry_later
 
 log = logging.getLogger(__name__)
@@ -17,7 +17,6 @@
 JOBS_PATH = "/v2/runs"
 JOB_PATH = re.compile(rf"^{JOBS_PATH}/([^/]+)$")
 CANCEL_PATH = re.compile(rf"^{JOBS_PATH}/([^/]+)/cancel$")
-JOB_ID_PATTERN = re.compile(JOB_ID)
 NOT_READY_RETRY_S = 1.0
 
 
@@ -101,7 +100,7 @@
         self, job: str, request: Callable[[str], Awaitable[dict[str, Any] | None]]
     ) -> Response | Awaitable[Response]:
         no_such_job = Response(HTTPStatus.NOT_FOUND, {"error": "no such job"})
-        if not JOB_ID_PATTERN.match(job):
+        if not is_job_id(job):
             return no_such_job  # submissions with such an id are rejected
 
         async def answer() -> Response:
--- a/tests/test_protocol.py
+++ b/tests/test_protocol.py
@@ -92,6 +92,12 @@
         parse_job(VALID_JOB | change)
 
 
+def test_a_job_id_with_a_line_break_at_its_end_is_refused() -> None:
+    # Guards against an accepted job that nobody can ask about or cancel: no path can hold its id.
+    with pytest.raises(MalformedError, match="nameId"):
+        parse_job(VALID_JOB | {"nameId": "j-000412\n"})
+
+
 @pytest.mark.parametrize("field", [name for name in VALID_JOB if name not in ("builds", "yard", "dueS")])
 def test_a_required_field_may_not_be_null_or_missing(field: str) -> None:
     for body in ({k: v for k, v in VALID_JOB.items() if k != field}, VALID_JOB | {field: None}):
