Background work: an unexpected error no longer leaves jobs and machines pending for good

With one error of the program in one call (simulated), callers saw: jobs pending for good after an error in scale-out, a command, a commit, the application of a commit, a reload or a takeover; no machine released any more after one in scale-in; no further query of peers, image records or format upgrade.

Cause: nobody awaits these coroutines, and what marks their work as begun (a pending request, a command or commit in flight, a queued release) was undone only after the expected errors.

Mend: each logs the error with its traceback and goes on: scale-out drops the request, scale-in and reloads repeat, a command counts as possibly delivered, a commit's jobs are reloaded from the store (which fences the commit), queries may begin again, image records and the format upgrade are loops that continue. A takeover that fails gives up the leadership.

--- a/stileloft/leadership/leader.py
+++ b/stileloft/leadership/leader.py
@@ -22,13 +22,21 @@
 
     def begin(self) -> None:
         """Starts the takeover, which goes on in the background."""
-        background.start("takeover", self._take_over())
+        background.start("takeover", self._take_over_or_step_down())
 
     def end(self) -> None:
         """Ends the leadership: nothing is decided, sent or stored afterwards."""
         self.lease.end()
         self.scheduling.stop()
 
+    async def _take_over_or_step_down(self) -> None:
+        """Takes over; a leadership that cannot begin its work is given up, so that another controller can lead."""
+        try:
+            await self._take_over()
+        except Exception:
+            log.exception("takeover failed token=%d", self.tokens.first)
+            self.lease.step_down("takeover failed")
+
     async def _take_over(self) -> None:
         """Recovers the state from the store, claims the known machines, and starts the periodic work."""
         background.start("machine inventory", self.inventory.run())
--- a/stileloft/machines/image_locations.py
+++ b/stileloft/machines/image_locations.py
@@ -10,6 +10,7 @@
 from stileloft.protocol.state import ConflictError, TooLargeError, UnavailableError, UnknownOutcomeError
 from stileloft.store.leader_store import LeaderStore
 from stileloft.transport.clock import Clock
+from stileloft.transport.retry import RetryPolicy, repeat
 from stileloft.transport.timers import sleep
 
 log = logging.getLogger(__name__)
@@ -20,6 +21,7 @@
 """Shortest interval, used while the images of many machines are unrecorded, in seconds."""
 FULL_INTERVAL_TRANSACTIONS = 64
 """Intervals become shorter when the unrecorded machines take more transactions than this."""
+RETRY = RetryPolicy((), RECORD_INTERVAL_S, RECORD_INTERVAL_S)
 MAX_IMAGES_PER_MACHINE = 40
 """Images that a machine is assumed to keep; beyond these the least recently used image is dropped."""
 
@@ -49,6 +51,8 @@
         """Images that a former leader recorded, by the ids of machines that this leader does not know yet."""
         self._records_to_delete: set[str] = set()
         """Ids of released machines whose records have to be deleted."""
+        self._write_interval_s = RECORD_INTERVAL_S
+        """Interval until the next write of image records, in seconds."""
 
     def machine_released(self, machine: Machine) -> None:
         """Schedules the deletion of a released machine's record."""
@@ -79,18 +83,19 @@
 
     async def run(self) -> None:
         """Writes image records periodically for the next leader, from write budget that other writes leave unused."""
-        interval_s = RECORD_INTERVAL_S
-        while self._lease.active:
-            await sleep(self._clock, interval_s)
-            if not self._lease.is_held():
-                continue
-            unrecorded = [m for m in self._cluster.machines.values() if not m.images_recorded]
-            interval_s = self._interval_s(len(unrecorded))
-            changes = ImageChanges(
-                unrecorded[: self._max_changes()], sorted(self._records_to_delete)[: self._max_changes()]
-            )
-            if self._take_budget(changes):
-                await self._commit(changes)
+        await repeat("image records", self._wait_and_write, RETRY, self._clock, lambda: self._lease.active)
+
+    async def _wait_and_write(self) -> None:
+        await sleep(self._clock, self._write_interval_s)
+        if not self._lease.is_held():
+            return
+        unrecorded = [m for m in self._cluster.machines.values() if not m.images_recorded]
+        self._write_interval_s = self._interval_s(len(unrecorded))
+        changes = ImageChanges(
+            unrecorded[: self._max_changes()], sorted(self._records_to_delete)[: self._max_changes()]
+        )
+        if self._take_budget(changes):
+            await self._commit(changes)
 
     def _max_changes(self) -> int:
         """Limit on the records written, and on the records deleted, by one transaction."""
--- a/stileloft/machines/partition_detector.py
+++ b/stileloft/machines/partition_detector.py
@@ -59,8 +59,10 @@
         worker to the leader, and remembers the heartbeat.
         """
         heartbeats_at_query = {machine.id: machine.last_heartbeat_at for machine in silent}
-        views = await self._peers.views()
-        self._query_in_flight = False
+        try:
+            views = await self._peers.views()
+        finally:
+            self._query_in_flight = False
         if not self._lease.active:
             return
         # A machine whose heartbeat has arrived during the query was only slow.
--- a/stileloft/machines/scale_in.py
+++ b/stileloft/machines/scale_in.py
@@ -85,6 +85,10 @@
                 await sleep(self._clock, FAILED_RETRY_S)
                 self._end_expired_tasks()
                 continue
+            except Exception:
+                log.exception("scale-in failed machines=%d", len(batch))
+                await sleep(self._clock, FAILED_RETRY_S)
+                continue
             if not self._lease.active:
                 return
             with self._cluster.lock:
--- a/stileloft/machines/scale_out.py
+++ b/stileloft/machines/scale_out.py
@@ -76,7 +76,12 @@
     async def _provision(self, request: str, offer: InstanceOffer, count: int) -> None:
         machine_type, zone, spot = offer
         sent_at = self._clock.seconds()
-        machines = await self._request_machines(request, offer, count)
+        try:
+            machines = await self._request_machines(request, offer, count)
+        except Exception:
+            # The request must not stay pending, as machines that never come would then count as coming.
+            log.exception("scale-out failed request=%s", request)
+            machines = []
         if not self._lease.active:
             return
         with self._cluster.lock:
--- a/stileloft/store/commit_queue.py
+++ b/stileloft/store/commit_queue.py
@@ -198,10 +198,10 @@
             guards.update(write_set.guards)
             puts.update(write_set.puts)
             deletes += write_set.deletes
-        revision = 0  # stays 0 if only chunks that were never stored are removed
         try:
-            if puts or deletes:
-                revision = await self._store.client.commit(guards, puts, deletes)
+            revision = await self._execute(guards, puts, deletes)
+            self._integrity.record_commit(puts, deletes, revision, announce_all=False)
+            self._record_executed(write_sets, revision)
         except ConflictError as conflict:
             self._resolve_conflict(write_sets, conflict)
         except TooLargeError as error:
@@ -213,15 +213,23 @@
             self._retry_later(write_sets)
             self._store.write_budget.refund(len(puts) + len(deletes))
         except UnknownOutcomeError as error:
-            self._reload_all(write_sets, error)
-        else:
-            self._integrity.record_commit(puts, deletes, revision, announce_all=False)
-            self._record_executed(write_sets, revision)
+            log.info("commit outcome unknown jobs=%d error=%s", len(write_sets), error)
+            self._reload_all(write_sets)
+        except Exception:
+            # Without a reload, none of these jobs would ever be written again.
+            log.exception("commit failed jobs=%d", len(write_sets))
+            self._reload_all(write_sets)
+
+    async def _execute(self, guards: dict[str, int], puts: dict[str, Any], deletes: list[str]) -> int:
+        """Executes a transaction; returns its revision, or 0 if only chunks that were never stored are removed."""
+        try:
+            return await self._store.client.commit(guards, puts, deletes) if puts or deletes else 0
+        finally:
+            self._in_flight -= 1
 
     # -- outcomes -------------------------------------------------------------------
 
     def _record_executed(self, write_sets: list[JobWriteSet], revision: int) -> None:
-        self._in_flight -= 1
         if not self._lease.active:
             return
         self.commits += 1
@@ -238,7 +246,6 @@
 
         If the guard on the leader key failed, the leadership itself is suspect, and no job is queued again.
         """
-        self._in_flight -= 1
         if records.LEADER in conflict.failed:
             self._lease.suspect("the leader key has another version")
             return
@@ -266,17 +273,14 @@
         )
         self._retry_later(write_sets)
 
-    def _reload_all(self, write_sets: list[JobWriteSet], error: UnknownOutcomeError) -> None:
+    def _reload_all(self, write_sets: list[JobWriteSet]) -> None:
         """Reloads the jobs of a commit that may still be executed; the reload fences the commit."""
-        self._in_flight -= 1
-        log.info("commit outcome unknown jobs=%d error=%s", len(write_sets), error)
         for write_set in write_sets:
             write_set.job.write.has_unresolved_commit = True
             self._reload(write_set.job)
 
     def _retry_later(self, write_sets: list[JobWriteSet]) -> None:
         """Queues the jobs again, and pauses all commits."""
-        self._in_flight -= 1
         for write_set in write_sets:
             self._requeue(write_set)
         self._refused_until = self._clock.seconds() + REFUSED_BACKOFF_S
--- a/stileloft/store/format_upgrade.py
+++ b/stileloft/store/format_upgrade.py
@@ -13,12 +13,14 @@
 from stileloft.settings import Settings
 from stileloft.store.leader_store import LeaderStore
 from stileloft.transport.clock import Clock
+from stileloft.transport.retry import RetryPolicy, repeat
 from stileloft.transport.timers import sleep
 
 log = logging.getLogger(__name__)
 
 POLL_S = 1.0
 """Interval at which the other controllers are asked which formats they can read, in seconds."""
+RETRY = RetryPolicy((), POLL_S, POLL_S)
 
 
 class FormatUpgrade:
@@ -48,10 +50,15 @@
         A controller that does not answer delays the upgrade, and so does a process of an older version, which states
         an older format or none.
         """
-        while self._lease.active and self._store.format.number < records.NEWEST_FORMAT:
-            if await self._all_read_newest_format() and self._lease.is_held():
-                await self._write_format()
-            await sleep(self._clock, POLL_S)
+        await repeat("format upgrade", self._try_and_wait, RETRY, self._clock, self._is_due)
+
+    def _is_due(self) -> bool:
+        return self._lease.active and self._store.format.number < records.NEWEST_FORMAT
+
+    async def _try_and_wait(self) -> None:
+        if await self._all_read_newest_format() and self._lease.is_held():
+            await self._write_format()
+        await sleep(self._clock, POLL_S)
 
     def _peer_members(self) -> set[str]:
         return {peer.member for peer in self._settings.peers}
--- a/stileloft/store/job_reloader.py
+++ b/stileloft/store/job_reloader.py
@@ -81,6 +81,9 @@
                 log.debug("job reload failed job=%s error=%s", job.id, error)
                 await sleep(self._clock, pause_s)
                 pause_s = min(2 * pause_s, MAX_RETRY_S)
+            except Exception:
+                log.exception("job reload failed job=%s", job.id)
+                await sleep(self._clock, MAX_RETRY_S)
         if not lease.active:
             return
         with self._cluster.lock:
--- a/stileloft/workers/transmission.py
+++ b/stileloft/workers/transmission.py
@@ -92,6 +92,10 @@
         except (NotDeliveredError, UncertainDeliveryError) as error:
             self._record_failure(batch, error)
             return None
+        except Exception as error:
+            log.exception("command failed machine=%s", machine.id)
+            self._record_failure(batch, error)
+            return None
         machine.command_in_flight = False
         if not self._lease.active:
             return None
@@ -135,13 +139,13 @@
             if start is not None and start.answered_at is None:
                 start.answered_at = now
 
-    def _record_failure(self, batch: CommandBatch, error: NotDeliveredError | UncertainDeliveryError) -> None:
-        """Records that a message was not delivered, or may not have been, and backs off."""
+    def _record_failure(self, batch: CommandBatch, error: Exception) -> None:
+        """Records that a message was not delivered, or may have been, and backs off."""
         machine, now = batch.machine, self._clock.seconds()
         machine.command_in_flight = False
         machine.send_failures += 1
         machine.retry_at = now + self._retry_s * min(MAX_RETRY_FACTOR, machine.send_failures)
-        is_uncertain = isinstance(error, UncertainDeliveryError)
+        is_uncertain = not isinstance(error, NotDeliveredError)
         log.info(
             "%s machine=%s token=%d epoch=%d commands=%d starts=%d failures=%d error=%s",
             "command outcome unknown" if is_uncertain else "commands not delivered",
