Scale-out: offers without capacity change only with the lock held

The scheduling thread reads them with the cluster's lock held, while they were changed without it: a cycle could have failed with "dictionary changed size during iteration". Suspected by the review and not seen in any run.

--- a/stileloft/machines/scale_out.py
+++ b/stileloft/machines/scale_out.py
@@ -57,7 +57,7 @@
         self._requests = 0
 
     def offers_without_capacity(self) -> frozenset[InstanceOffer]:
-        """Returns the offers for which the cloud recently had no capacity."""
+        """Returns the offers for which the cloud recently had no capacity. Called with the cluster's lock held."""
         now = self._clock.seconds()
         return frozenset(offer for offer, until in self._no_capacity_until.items() if until > now)
 
@@ -107,7 +107,6 @@
     async def _request_machines(self, request: str, offer: InstanceOffer, count: int) -> list[str]:
         """Returns the ids of the provisioned machines; fewer than `count` without capacity, authority or an answer."""
         machine_type, zone, spot = offer
-        backoff_s = NO_CAPACITY_BACKOFF_BOOT_TIMES * self._boots.boot_s(machine_type)
         for attempt in range(MAX_ATTEMPTS):
             if self._authority.check_scale_out() is not None:
                 return []
@@ -116,7 +115,7 @@
                     request, machine_type, zone, spot, count, lambda: not self._authority.check_scale_out()
                 )
             except NoCapacityError:
-                self._no_capacity_until[offer] = self._clock.seconds() + backoff_s
+                self._back_off(offer)
                 return []
             except CloudError as error:
                 # The retry has the same id: if the first request was executed, no further machines are provisioned.
@@ -124,6 +123,12 @@
                 await sleep(self._clock, FIRST_RETRY_S + attempt)
                 continue
             if len(machines) < count:
-                self._no_capacity_until[offer] = self._clock.seconds() + backoff_s
+                self._back_off(offer)
             return machines
         return []
+
+    def _back_off(self, offer: InstanceOffer) -> None:
+        """Excludes an offer from scaling plans for a while, after the cloud had too few machines of it."""
+        backoff_s = NO_CAPACITY_BACKOFF_BOOT_TIMES * self._boots.boot_s(offer.machine_type)
+        with self._cluster.lock:  # the scheduling thread reads the offers
+            self._no_capacity_until[offer] = self._clock.seconds() + backoff_s
--- a/stileloft/model/cluster_lock.py
+++ b/stileloft/model/cluster_lock.py
@@ -24,11 +24,10 @@
 
     def __enter__(self) -> None:
         """Waits until the lock is free, and acquires it."""
-        thread = threading.get_ident()
-        if self._owner == thread:
+        if self.held_by_this_thread():
             raise ReentrantAcquisitionError("this thread already holds the lock of the cluster's state")
         self._lock.acquire()
-        self._owner = thread
+        self._owner = threading.get_ident()
 
     def __exit__(self, *_: object) -> None:
         """Releases the lock, then calls the functions that were waiting for the release."""
@@ -38,13 +37,17 @@
         for function in waiting:
             function()
 
+    def held_by_this_thread(self) -> bool:
+        """Returns whether the calling thread holds the lock."""
+        return self._owner == threading.get_ident()
+
     def call_without(self, function: Callable[[], None]) -> None:
         """Calls a function that must not run with the lock held.
 
         It is called at once, or right after this thread's release of the lock if this thread holds it. Functions that
         wait for the release are called in order, also if the code that holds the lock raises an error.
         """
-        if self._owner == threading.get_ident():
+        if self.held_by_this_thread():
             self._after_release.append(function)
         else:
             function()
--- a/tests/test_cluster_lock.py
+++ b/tests/test_cluster_lock.py
@@ -147,3 +147,26 @@
         if isinstance(node, ast.Attribute) and node.attr in ("ensureDeferred", "fromCoroutine")
     }
     assert found == COROUTINE_STARTERS
+
+
+def test_offers_without_capacity_change_only_with_the_lock_held(monkeypatch: pytest.MonkeyPatch) -> None:
+    # Guards against a scheduling cycle that fails because the offers change while its thread reads them.
+    changes: list[bool] = []
+
+    class Offers(dict):
+        def __init__(self, lock: ClusterLock) -> None:
+            self.lock = lock
+
+        def __setitem__(self, offer: object, until: float) -> None:
+            changes.append(self.lock.held_by_this_thread())
+            super().__setitem__(offer, until)
+
+    cluster = SimulatedCluster(5, capacity=1, loss=0.0)
+    cluster.run(10)
+    leader = cluster.nodes[cluster.leader()].leader
+    monkeypatch.setattr(leader.provisioner, "_no_capacity_until", Offers(leader.cluster.lock))
+    for number in range(4):
+        cluster.submit(cluster.job(number, pieces=8, vcpus=8.0))
+    cluster.run(30)
+    assert changes
+    assert all(changes)
