--- a/stileloft/scheduling/instance_offers.py
+++ b/stileloft/scheduling/instance_offers.py
@@ -8,8 +8,8 @@
 from stileloft.protocol.messages import JobSpec, MachineType
 from stileloft.scheduling.machine_view import MachineView
 
-# Upper bound of the tasks that share a machine's price, for a resource that the job does not use.
 MAX_PRICED_SLOTS = 1000
+"""Upper bound of the tasks that share a machine's price, for a resource that the job does not use."""
 
 
 class InstanceOffer(NamedTuple):
--- a/stileloft/scheduling/machine_scoring.py
+++ b/stileloft/scheduling/machine_scoring.py
@@ -9,25 +9,28 @@
 URGENT_RANK = 2
 """Lowest rank of urgent jobs."""
 
-# Weights of the image fetch time in the cost of a machine, which is in seconds, for urgent and for other tasks.
 FETCH_WEIGHT_URGENT = 1.0
+"""Weight of the image fetch time in the cost of a machine for an urgent task; the cost is in seconds."""
 FETCH_WEIGHT = 0.3
-# Bin packing: cost of a small task on a large machine, lower for a class with a start objective, and higher while tasks
-# that fit only on large machines are waiting.
+"""Weight of the image fetch time in the cost of a machine for any other task."""
 FRAGMENTATION_PENALTY_S = 5.0
+"""Cost of a small task on a large machine, in seconds, for bin packing."""
 FRAGMENTATION_PENALTY_START_OBJECTIVE_S = 1.0
+"""The same for a class with a start objective."""
 FRAGMENTATION_PENALTY_LARGE_SCARCE_S = 30.0
-# Factor on the fragmentation penalty for a large machine that is already partly filled.
+"""The same while tasks that fit only on large machines are waiting."""
 ALREADY_FRAGMENTED_FACTOR = 0.3
-# Additional cost of an image fetch that takes more than FETCH_SHARE_OF_OBJECTIVE of the class's start objective.
+"""Factor on the fragmentation penalty for a large machine that is already partly filled."""
 MISSED_OBJECTIVE_PENALTY_S = 6.0
+"""Additional cost of an image fetch that endangers the class's start objective, in seconds."""
 FETCH_SHARE_OF_OBJECTIVE = 0.6
-# Cost of on-demand machines, so that they become idle before spot instances and can be released.
+"""A fetch that takes more than this fraction of the class's start objective endangers it."""
 ON_DEMAND_PENALTY_S = 2.0
-# Lower bound of the fetch rate, for machine types that state none.
+"""Cost of on-demand machines in seconds, so that they become idle before spot instances and can be released."""
 MIN_FETCH_GB_PER_S = 1e-3
-# Upper bound of the time of an image fetch, so that sums and products of times stay finite.
+"""Lower bound of the fetch rate, in GB a second, for machine types that state none."""
 MAX_FETCH_S = 1e9
+"""Upper bound of the time of an image fetch, in seconds, so that sums and products of times stay finite."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/stileloft/scheduling/provisioning_planner.py
+++ b/stileloft/scheduling/provisioning_planner.py
@@ -15,17 +15,20 @@
 from stileloft.scheduling.scheduling_cycle import UnmetDemand
 from stileloft.scheduling.snapshot import ExpectedTasks, Snapshot
 
-# One plan provisions at most PROVISION_SHARE of the fleet or of the machines that the waiting tasks would fill,
-# whichever is more, so that an empty fleet grows to some hundreds quickly. The limit is at least MIN_PROVISION_LIMIT.
 MIN_PROVISION_LIMIT = 8
+"""Lower bound of the limit on the machines that one plan provisions."""
 PROVISION_SHARE = 0.25
+"""That limit, as a fraction of the fleet or of the machines that the waiting tasks would fill, whichever is more.
+
+With it, an empty fleet grows to some hundreds quickly.
+"""
 PLANNED_PREFIX = "new-"
-# Factor on the price per task of a large machine for tasks that fit on a small one.
 LARGE_MACHINE_WEIGHT = 1.3
-# Factor on the price of an offer whose machines often boot late: another zone is preferred, but not at any price.
+"""Factor on the price per task of a large machine for tasks that fit on a small one."""
 UNRELIABLE_WEIGHT = 2.0
-# Prices are rounded to this many decimals, so that nearly equal prices compare as equal.
+"""Factor on the price of an offer whose machines often boot late: another zone is preferred, but not at any price."""
 PRICE_DECIMALS = 4
+"""Prices are rounded to this many decimals, so that nearly equal prices compare as equal."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/stileloft/scheduling/queue_order.py
+++ b/stileloft/scheduling/queue_order.py
@@ -4,8 +4,8 @@
 from stileloft.scheduling.machine_view import PREEMPTION_EXEMPT_RANK
 from stileloft.scheduling.snapshot import PendingJob, Snapshot
 
-# Largest share of all processors that tasks promoted by priority aging take.
 AGED_CPU_SHARE = 0.25
+"""Largest share of all processors that tasks promoted by priority aging take."""
 
 
 def queue_position(job: PendingJob, snapshot: Snapshot) -> tuple[float, ...]:
--- a/stileloft/scheduling/scaling_criteria.py
+++ b/stileloft/scheduling/scaling_criteria.py
@@ -11,12 +11,18 @@
 from stileloft.scheduling.scheduling_cycle import UnmetDemand
 from stileloft.scheduling.snapshot import PendingJob, Snapshot
 
-# No machine is provisioned for tasks that the present machines will serve within this fraction of a boot time.
 WORTHWHILE_WAIT_BOOTS = 0.4
-# An on-demand machine is provisioned for a deadline if the time to spare, in times that a new machine takes to become
-# ready, is between -LATE_BOOTS and EARLY_BOOTS. The time to spare may be negative, since estimates are often wrong.
+"""No machine is provisioned for tasks that the present machines will serve within this fraction of a boot time."""
 EARLY_BOOTS = 0.5
+"""No on-demand machine is provisioned while the time to spare before a deadline is longer than this many ready times.
+
+The ready time is the time that a new machine takes to become ready.
+"""
 LATE_BOOTS = 1.0
+"""No on-demand machine is provisioned once a deadline is missed by more than this many ready times.
+
+A smaller delay may not be real, since estimates are often wrong.
+"""
 
 
 def machines_to_fill(unmet: Iterable[UnmetDemand], types: dict[str, MachineType]) -> float:
--- a/stileloft/scheduling/workload.py
+++ b/stileloft/scheduling/workload.py
@@ -13,20 +13,22 @@
 from stileloft.scheduling.snapshot import ExpectedTasks
 from stileloft.settings import Objective
 
-# Weight of the newest observation in an exponential moving average.
 MOVING_MEAN_WEIGHT = 0.2
-# Headroom for a class that has a start objective but no job yet, in tasks, one per machine. With it, the first gangs of
-# the class can start while more machines boot.
+"""Weight of the newest observation in an exponential moving average."""
 UNSEEN_CLASS_TASKS = 3
-# A class counts as ended after no submission for this many of its mean interarrival times.
+"""Headroom for a class that has a start objective but no job yet, in tasks, one per machine.
+
+With it, the first gangs of the class can start while more machines boot.
+"""
 ENDED_AFTER_INTERARRIVALS = 4.0
-# Arrivals per boot time up to which the operators' headroom factor applies unchanged.
+"""A class counts as ended after no submission for this many of its mean interarrival times."""
 BASELINE_ARRIVALS_PER_BOOT = 2.0
-# Bounds of the ratio of run time to estimate, so that a single outlier does not distort later estimates.
+"""Arrivals per boot time up to which the operators' headroom factor applies unchanged."""
 MIN_RUN_TIME_RATIO, MAX_RUN_TIME_RATIO = 0.1, 4.0
+"""Bounds of the ratio of run time to estimate, so that a single outlier does not distort later estimates."""
 MIN_ESTIMATE_S = 0.5
-# Longer estimates count as this, so that sums and products of times stay finite.
 MAX_ESTIMATE_S = 1e9
+"""Longer estimates count as this many seconds, so that sums and products of times stay finite."""
 MIN_INTERARRIVAL_S = 0.1
 
 
