--- a/stileloft/transport/retry.py
+++ b/stileloft/transport/retry.py
@@ -9,6 +9,12 @@
 
 log = logging.getLogger(__name__)
 
+MIN_STEP_S = 0.001
+"""A step that took less than this, in seconds, is followed by a pause as long.
+
+It may have had nothing to wait for; without a pause, the loop would then keep the process from all other work.
+"""
+
 
 @dataclass(frozen=True, slots=True)
 class RetryPolicy:
@@ -31,13 +37,17 @@
     clock: Clock,
     is_active: Callable[[], bool] = lambda: True,
 ) -> None:
-    """Awaits `step` repeatedly while `is_active()`; after a successful step, there is no pause but the step's own.
+    """Awaits `step` repeatedly while `is_active()`.
 
-    Errors of a step are logged with the loop's name and not raised.
+    A successful step is followed by no pause but its own, or by `MIN_STEP_S` if it took hardly any time. Errors of a
+    step are logged with the loop's name and not raised.
     """
     while is_active():
+        started_at = clock.seconds()
         try:
             await step()
+            if clock.seconds() - started_at < MIN_STEP_S:
+                await sleep(clock, MIN_STEP_S)
         except policy.expected_errors as error:
             log.log(policy.level, "loop step failed loop=%r retry_s=%.2f error=%s", name, policy.retry_s, error)
             await sleep(clock, policy.retry_s)
--- a/tests/test_cluster_lock.py
+++ b/tests/test_cluster_lock.py
@@ -15,13 +15,17 @@
 from stileloft.model.machines import Machine
 from stileloft.scheduling.decision_applier import DecisionApplier
 from stileloft.transport import background
+from stileloft.transport.retry import RetryPolicy, repeat
 from tests.simulation.cluster import SimulatedCluster
+from tests.simulation.processes import Clock
 
 SOURCES = Path(__file__).parent.parent / "stileloft"
 COROUTINE_STARTERS = {"transport/background.py", "protocol/peers.py"}
 """Modules that start coroutines themselves: the one for it, and one that awaits what it starts."""
 HANGS_AFTER_S = 60.0
 """Real seconds after which a simulated run counts as hanging; it takes about one."""
+MAX_STEPS = 1000
+"""A loop that has made so many steps without a pause would go on forever."""
 PAUSE_S = 3.0
 """A pause of a process, in simulated seconds: longer than the leader's lease of 2 s."""
 
@@ -170,3 +174,17 @@
     cluster.run(30)
     assert changes
     assert all(changes)
+
+
+def test_a_loop_whose_steps_have_nothing_to_wait_for_leaves_time_for_other_work() -> None:
+    # Guards against a background loop that keeps the process from answering anything, and uses all of its processor.
+    clock, steps = Clock(), []
+
+    async def step() -> None:
+        steps.append(clock.seconds())
+
+    policy = RetryPolicy((), 1.0, 1.0)
+    background.start("loop", repeat("loop", step, policy, clock, lambda: len(steps) < MAX_STEPS))
+    assert len(steps) == 1
+    clock.advance(0.1)
+    assert 1 < len(steps) < MAX_STEPS
