Tests: no coroutine is started with the lock held; accepted jobs can be read back

The second is a property test: whatever a submission may hold, its record is read back as the same job.

--- a/tests/test_cluster_lock.py
+++ b/tests/test_cluster_lock.py
@@ -18,6 +18,15 @@
 from stileloft.transport.retry import RetryPolicy, repeat
 from tests.simulation.cluster import SimulatedCluster
 from tests.simulation.processes import Clock
+from tests.test_overlapping_faults import delay_writes
+from tests.test_rules import (
+    crash_leader,
+    crash_machines,
+    outage,
+    partition_leader_from_workers,
+    run_until_jobs_end,
+    submit_mixed_jobs,
+)
 
 SOURCES = Path(__file__).parent.parent / "stileloft"
 COROUTINE_STARTERS = {"transport/background.py", "protocol/peers.py"}
@@ -39,7 +48,7 @@
 
 
 def test_a_leader_paused_past_its_lease_while_it_applies_a_scaling_plan_does_not_hang(
-    monkeypatch: pytest.MonkeyPatch,
+    monkeypatch: pytest.MonkeyPatch, caplog: pytest.LogCaptureFixture
 ) -> None:
     # Guards against a leader that waits for its own lock forever, if its lease ends before its plan is carried out.
     cluster = SimulatedCluster(5, loss=0.0)
@@ -54,12 +63,41 @@
 
     monkeypatch.setattr(DecisionApplier, "apply_scaling", apply_scaling_after_pause)
     cluster.submit(cluster.job(1, pieces=4, guessS=20.0))
-    assert returns_in_time(lambda: cluster.run(120))
+    with caplog.at_level(logging.ERROR):
+        assert returns_in_time(lambda: cluster.run(120))
     assert paused_at
+    assert caplog.records == []
     assert cluster.checker.violations == []
     assert cluster.checker.last_phase["j-000001"] == "done"
 
 
+def test_no_coroutine_is_started_with_the_lock_held(monkeypatch: pytest.MonkeyPatch) -> None:
+    # Guards against the same cause on all other paths: such a coroutine may run to its end where the lock is held.
+    locks, started, started_with_lock = [], set(), set()
+    initialize, start = ClusterLock.__init__, background.start
+
+    def initialize_and_keep(lock: ClusterLock) -> None:
+        initialize(lock)
+        locks.append(lock)
+
+    def start_and_check(name: str, coroutine: background.BackgroundCoroutine) -> None:
+        started.add(name)
+        if any(lock.held_by_this_thread() for lock in locks):
+            started_with_lock.add(name)
+        start(name, coroutine)
+
+    monkeypatch.setattr(ClusterLock, "__init__", initialize_and_keep)
+    monkeypatch.setattr(background, "start", start_and_check)
+    cluster = SimulatedCluster(9)
+    submit_mixed_jobs(cluster)
+    faults = (delay_writes(12.0, 0.4), partition_leader_from_workers, outage, crash_leader, crash_machines)
+    for number, fault in enumerate(faults):
+        cluster.clock.callLater(20.0 + 30.0 * number, fault, cluster)
+    run_until_jobs_end(cluster)
+    assert started >= {"scale-out", "scale-in", "commit", "command delivery", "job reload", "query of peers"}
+    assert started_with_lock == set()
+
+
 def test_a_leader_without_peers_does_not_step_down_while_it_holds_the_lock() -> None:
     # Guards against the same cause in failure detection: without peers, their query has nothing to wait for.
     lock, locked_at_step_down = ClusterLock(), []
--- a/tests/test_extreme_amounts.py
+++ b/tests/test_extreme_amounts.py
@@ -7,10 +7,11 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from stileloft.model.job_records import active_record, job_from_record
 from stileloft.model.quota import QuotaUsage
 from stileloft.model.resources import UNBOUNDED_SLOTS, Resources
 from stileloft.protocol.admin import OperatorSettings
-from stileloft.protocol.messages import JobSpec, MachineType
+from stileloft.protocol.messages import JobSpec, MachineType, decode, encode, parse_job
 from stileloft.scheduling.autoscaling import Autoscaler
 from stileloft.scheduling.machine_view import MachineView, RunningTask
 from stileloft.scheduling.placement import decide
@@ -179,3 +180,33 @@
     cluster.run(60)
     assert cluster.checker.violations == []
     assert cluster.checker.last_phase["j-000002"] == "done"
+
+
+texts = st.text(min_size=1, max_size=200).filter(
+    lambda text: not any("\ud800" <= letter <= "\udfff" for letter in text)
+)
+amounts = st.one_of(st.floats(0.0, allow_infinity=False), st.integers(0, 2**64 - 1), st.sampled_from([0.0, SMALLEST]))
+
+
+@given(
+    st.fixed_dictionaries(
+        dict.fromkeys(("lane", "crew", "bundle"), texts)
+        | dict.fromkeys(("accelerators", "memGb", "imageGb", "guessS", "snapshotS", "stashS"), amounts)
+        | {
+            "vcpus": st.floats(0.0, exclude_min=True, allow_infinity=False),
+            "nameId": st.from_regex(r"j-[0-9]{1,30}", fullmatch=True),
+            "pieces": st.integers(1, 100_000),
+            "builds": st.none() | st.lists(texts, max_size=64),
+            "yard": st.none() | texts,
+            "dueS": st.none() | amounts,
+        }
+    )
+)
+def test_the_record_of_each_accepted_job_can_be_read_back(changes: dict[str, object]) -> None:
+    # Guards against one job whose record cannot be read: a new leader, and the watch of jobs, read all or none.
+    flags = {"shape": "array", "urgency": "idle", "together": False, "spread": True, "loaner": False}
+    spec = parse_job(decode(encode(flags | changes)))
+    stored = decode(encode(active_record(spec, NOW, 100)))
+    job = job_from_record(stored, 1, 100)
+    assert job.spec == spec
+    assert job.waiting == spec.tasks
