--- a/tests/test_cluster_lock.py
+++ b/tests/test_cluster_lock.py
@@ -17,16 +17,10 @@
 from stileloft.transport import background
 from stileloft.transport.retry import RetryPolicy, repeat
 from tests.simulation.cluster import SimulatedCluster
+from tests.simulation.faults import crash_leader, crash_machines, outage, partition_leader_from_workers
 from tests.simulation.processes import Clock
-from tests.test_overlapping_faults import delay_writes
-from tests.test_rules import (
-    crash_leader,
-    crash_machines,
-    outage,
-    partition_leader_from_workers,
-    run_until_jobs_end,
-    submit_mixed_jobs,
-)
+from tests.simulation.timed_faults import delay_writes
+from tests.simulation.workloads import run_until_jobs_end, submit_mixed_jobs
 
 SOURCES = Path(__file__).parent.parent / "stileloft"
 COROUTINE_STARTERS = {"transport/background.py", "protocol/peers.py"}
--- a/tests/test_fence_histories.py
+++ b/tests/test_fence_histories.py
@@ -6,7 +6,7 @@
 
 from tests.simulation.cluster import SimulatedCluster
 from tests.simulation.network import MessageDelay
-from tests.test_rules import run_until_jobs_end
+from tests.simulation.workloads import run_until_jobs_end
 
 DELAYED_VERBS = st.sampled_from([None, "launch", "launch", "stop", "forget"])
 
--- a/tests/test_gangs.py
+++ b/tests/test_gangs.py
@@ -12,9 +12,7 @@
 from stileloft.protocol.messages import MachineType, parse_heartbeat, parse_job
 from stileloft.settings import Team
 from tests.simulation.cluster import SimulatedCluster
-from tests.simulation.gangs import Gang
-from tests.simulation.workers import Machine
-from tests.test_rules import (
+from tests.simulation.faults import (
     block_traffic_to_machines,
     crash_leader,
     crash_machines,
@@ -26,10 +24,10 @@
     partition_zone_of_leader,
     reclaim_spot_machines,
     restart_all_controllers,
-    run_until_jobs_end,
-    submit_burst,
-    submit_mixed_jobs,
 )
+from tests.simulation.gangs import Gang
+from tests.simulation.workers import Machine
+from tests.simulation.workloads import run_until_jobs_end, submit_burst, submit_mixed_jobs
 
 
 def gang_job(cluster: SimulatedCluster, number: int, **changes: object) -> dict:
--- a/tests/test_inline_records.py
+++ b/tests/test_inline_records.py
@@ -19,7 +19,8 @@
 from stileloft.model.placements import Placement
 from stileloft.transport.client import Reply
 from tests.simulation.cluster import SimulatedCluster
-from tests.test_rules import crash_leader, outage, run_until_jobs_end, submit_mixed_jobs
+from tests.simulation.faults import crash_leader, outage
+from tests.simulation.workloads import run_until_jobs_end, submit_mixed_jobs
 from tests.test_upgrade import stored_spec
 from tests.versions import CURRENT, LAST_FORMAT_1, from_history
 
--- a/tests/test_ops_troubles.py
+++ b/tests/test_ops_troubles.py
@@ -6,8 +6,8 @@
 
 from stileloft.controller.controller import Controller
 from tests.simulation.cluster import SimulatedCluster
-from tests.test_inline_records import count_changes
-from tests.test_overlapping_faults import (
+from tests.simulation.faults import crash_leader, reclaim_spot_machines
+from tests.simulation.timed_faults import (
     cancel_running_jobs,
     delay_writes,
     flood_with_queries,
@@ -16,7 +16,8 @@
     set_boot_failures,
     stop_all_controllers,
 )
-from tests.test_rules import crash_leader, reclaim_spot_machines, run_until_jobs_end, submit_mixed_jobs
+from tests.simulation.workloads import run_until_jobs_end, submit_mixed_jobs
+from tests.test_inline_records import count_changes
 
 Fault = Callable[[SimulatedCluster], None]
 
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -18,15 +18,9 @@
 from stileloft.settings import State, parse
 from stileloft.store.limits import StoreLimits
 from tests.simulation.cluster import SimulatedCluster
+from tests.simulation.faults import crash_leader, crash_machines, outage, reclaim_spot_machines
+from tests.simulation.workloads import run_until_jobs_end, submit_mixed_jobs
 from tests.test_gangs import gang_job, submit_gangs
-from tests.test_rules import (
-    crash_leader,
-    crash_machines,
-    outage,
-    reclaim_spot_machines,
-    run_until_jobs_end,
-    submit_mixed_jobs,
-)
 from tests.versions import CURRENT, LAST_LEGACY, Version, from_history, production
 
 PRODUCTION_FIXTURE = Path(__file__).parent / "production.json"
--- a/tests/wire_trace.py
+++ b/tests/wire_trace.py
@@ -26,12 +26,12 @@
 from stileloft.features import Features, RebuildFeature
 from stileloft.protocol import messages
 from stileloft.transport.client import Reply
-from tests import test_overlapping_faults as overlapping
-from tests import test_rules as single
 from tests.held_starts import cloud_outage, freeze_leader
+from tests.simulation import faults, timed_faults
 from tests.simulation.clients import SimulatedClient
 from tests.simulation.cluster import SimulatedCluster
 from tests.simulation.network import MessageDelay
+from tests.simulation.workloads import submit_mixed_jobs
 from tests.test_gangs import gang_job, submit_gangs
 from tests.versions import CURRENT, production
 
@@ -56,38 +56,38 @@
 
 
 FAULTS: tuple[Fault, ...] = (
-    single.crash_leader,
-    single.crash_all_controllers,
-    single.restart_during_elections,
-    single.outage,
-    single.refuse_leader,
-    single.partition_leader_from_state_service,
-    single.partition_leader_from_workers,
-    single.reclaim_spot_machines,
-    single.crash_machines,
-    single.hang_two_machines(9.0),
-    single.hang_two_machines(20.0),
-    single.partition_machines,
-    single.cloud_outage,
-    single.make_machine_faulty,
-    single.block_traffic_to_machines(9.0),
-    single.duplicate_messages,
-    single.freeze_leader,
-    single.refuse_peer_connections,
-    single.restart_machines,
-    overlapping.delay_writes(12.0, 0.4),
-    overlapping.delay_writes(12.0, 0.4, at_once=True),
-    overlapping.slow_state_service(12.0),
-    overlapping.query_all_after_answers(15.0),
-    overlapping.replay_heartbeats_to_next_leader(10.0),
-    overlapping.delay_commands(10.0),
-    overlapping.set_boot_failures(30.0, 0.2, 0.3, 4.0),
-    overlapping.cancel_running_jobs(4, 9.0),
-    overlapping.cancel_at_completion,
-    overlapping.isolate_leader_with_workers(12.0),
-    overlapping.partition_zone(14.0),
-    overlapping.submit_infeasible_and_repeated_jobs,
-    overlapping.flood_with_queries,
+    faults.crash_leader,
+    faults.crash_all_controllers,
+    faults.restart_during_elections,
+    faults.outage,
+    faults.refuse_leader,
+    faults.partition_leader_from_state_service,
+    faults.partition_leader_from_workers,
+    faults.reclaim_spot_machines,
+    faults.crash_machines,
+    faults.hang_two_machines(9.0),
+    faults.hang_two_machines(20.0),
+    faults.partition_machines,
+    faults.cloud_outage,
+    faults.make_machine_faulty,
+    faults.block_traffic_to_machines(9.0),
+    faults.duplicate_messages,
+    faults.freeze_leader,
+    faults.refuse_peer_connections,
+    faults.restart_machines,
+    timed_faults.delay_writes(12.0, 0.4),
+    timed_faults.delay_writes(12.0, 0.4, at_once=True),
+    timed_faults.slow_state_service(12.0),
+    timed_faults.query_all_after_answers(15.0),
+    timed_faults.replay_heartbeats_to_next_leader(10.0),
+    timed_faults.delay_commands(10.0),
+    timed_faults.set_boot_failures(30.0, 0.2, 0.3, 4.0),
+    timed_faults.cancel_running_jobs(4, 9.0),
+    timed_faults.cancel_at_completion,
+    timed_faults.isolate_leader_with_workers(12.0),
+    timed_faults.partition_zone(14.0),
+    timed_faults.submit_infeasible_and_repeated_jobs,
+    timed_faults.flood_with_queries,
     hold_starts,
     hold_answers,
     cloud_outage,
@@ -218,7 +218,7 @@
 
 def _submit_jobs(cluster: SimulatedCluster) -> None:
     """Submits arrays of several kinds, gangs, a job of 90 tasks, and a standing service."""
-    single.submit_mixed_jobs(cluster, jobs=14, every=2.5)
+    submit_mixed_jobs(cluster, jobs=14, every=2.5)
     submit_gangs(cluster, count=5, every=7.0)
     cluster.clock.callLater(6.0, cluster.submit, gang_job(cluster, 300, pieces=3, loaner=True))
     cluster.clock.callLater(9.0, cluster.submit, cluster.job(400, shape="standing", pieces=2, vcpus=1.0, crew="edge"))
