--- a/review/standins-2/workers.py
+++ b/review/standins-2/workers.py
@@ -15,6 +15,8 @@
 CHANGE_S = 0.5
 """A change is reported no sooner than this after the report before."""
 CHECK_S = 0.05
+FAIL_S = 1.0
+"""How long a task runs that fails."""
 CLOUD_DELETE_LIMIT = 100
 
 
@@ -224,10 +226,12 @@
             return
         task.phase, self._changed = "running", True
         self._world.started(name, self, task.attempt)
-        await asyncio.sleep(job["guessS"])
+        fails = name in self._world.failing
+        self._world.failing.discard(name)
+        await asyncio.sleep(FAIL_S if fails else job["guessS"])
         await self._while_hanging()
         if self.tasks.get(name) is task and task.phase == "running":
-            self._exit(name, task, "done")
+            self._exit(name, task, "error" if fails else "done")
 
     def _exit(self, name: str, task: Task, cause: str) -> None:
         self._record.write(f"{self.name}: {name} try {task.attempt} exits: {cause}")
@@ -248,6 +252,8 @@
         self.nodes: dict[str, str] = {}
         self.jobs: dict[str, dict[str, Any]] = {}
         self.completed: set[str] = set()
+        self.failing: set[str] = set()
+        """Tasks whose next start fails."""
         self.machines: dict[str, Worker] = {}
         self.where: dict[str, Worker] = {}
         """The machine of each task that runs."""
