review: case 8, arrays of very small tasks kill one leader after the other

Seven arrays of 100,000 tasks of 0.0001 processors are accepted; each leader holds more than 146 MiB some 2 s after its election and is killed by the stand-in of the platform, and no task of any team starts.

--- /dev/null
+++ b/review/8/run.sh
@@ -0,0 +1,4 @@
+#!/bin/sh
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run. TROUBLE=0: without the disruption.
+cd "$(dirname "$0")/../.." || exit 2
+PYTHONPATH="$PWD/target/deps" PYTHONDONTWRITEBYTECODE=1 exec python3 review/8/case.py
--- a/review/standins-2/cluster.py
+++ b/review/standins-2/cluster.py
@@ -27,6 +27,8 @@
 RETRY_S = 1.0
 START_S = 25.0
 """How long the controllers may take until one leads and all are healthy."""
+MEMORY_CHECK_S = 0.05
+KIB_PER_MIB = 1024
 LONGEST_S = 117.0
 CLOSING_S = 0.3
 """The time in which the connections of ended controllers close."""
@@ -68,7 +70,7 @@
 cpus_max = 0.0
 gpus = 0.0
 gpus_max = 0.0
-
+{more_teams}
 [deployment.workers]
 report_s = {report_s}
 lease_s = {lease_s}
@@ -106,6 +108,15 @@
     return ports
 
 
+def _own_memory_mib(pid: int) -> float:
+    """Returns the memory that a process holds for itself, without what it shares with files."""
+    try:
+        lines = Path(f"/proc/{pid}/status").read_text(encoding="utf-8").splitlines()
+    except OSError:
+        return 0.0
+    return sum(float(line.split()[1]) / KIB_PER_MIB for line in lines if line.startswith("RssAnon:"))
+
+
 class Cluster:
     """The deployment."""
 
@@ -118,6 +129,10 @@
         self.processes: dict[str, subprocess.Popen[bytes]] = {}
         self._temporary = tempfile.TemporaryDirectory()
         self._settings: dict[str, Path] = {}
+        self.killed: list[str] = []
+        """Controllers that were killed for memory, in order."""
+        self.more_teams: list[str] = []
+        """Teams without guarantee and limit beside the site's own."""
         self.peers: dict[str, Proxy] = {}
         """What stands before each controller's address for the others."""
         self._turn = 0
@@ -152,6 +167,7 @@
                 report_s=timings.report_s,
                 lease_s=timings.lease_s,
                 cancel_s=timings.cancel_s,
+                more_teams="".join(f'\n[[deployment.teams]]\nname = "{team}"\n' for team in self.more_teams),
             )
             self._settings[member] = Path(self._temporary.name) / f"{member}.toml"
             self._settings[member].write_text(text, encoding="utf-8")
@@ -174,6 +190,25 @@
         self.record.write(f"{member}: {number.name}")
         self.processes[member].send_signal(number)
 
+    async def enforce_memory(self, limit_mib: float, back_s: float) -> None:
+        """Kills a controller whose own memory exceeds the limit, and starts it again after this time."""
+        while True:
+            await asyncio.sleep(MEMORY_CHECK_S)
+            for member, process in list(self.processes.items()):
+                held_mib = _own_memory_mib(process.pid) if process.poll() is None else 0.0
+                if held_mib > limit_mib:
+                    self.killed.append(member)
+                    self.record.write(f"{member}: holds {held_mib:.0f} MiB, of {limit_mib:.0f} allowed: killed")
+                    process.kill()
+                    process.wait()
+                    asyncio.get_running_loop().call_later(back_s, self.spawn, member)
+
+    async def leader(self) -> str:
+        """Waits until a controller leads; returns its name."""
+        while (member := self.state.leader()) is None:
+            await asyncio.sleep(0.1)
+        return member
+
     async def ready(self) -> None:
         """Waits until one controller leads, all are healthy and all machines know its token."""
         while self.record.now() < START_S:
