Rebuild: a job that ends right after it was submitted again no longer stays unresolved

What operators saw: a job that only its workers knew, submitted again and completed within one interval of the poll (1 s), stayed under `undecided` for good, though it was done. Cause: the poll took a job without specification that the leader does not hold for one that was not submitted yet. It now asks whether the job has an outcome.

--- a/stileloft/rebuild/unresolved_task_manager.py
+++ b/stileloft/rebuild/unresolved_task_manager.py
@@ -89,7 +89,7 @@
             with self._cluster.lock:
                 if not self._apply_decisions(job, unresolved):
                     return
-        elif unresolved.spec_lost and Decision.FORGET not in unresolved.decisions.values() and job is None:
+        elif job is None and not await self._may_forget(job_id, unresolved):
             return
         # The record is no longer needed: its tasks are resolved, or the job has ended or been submitted again.
         key = records.UNRESOLVED + job_id
@@ -99,6 +99,18 @@
             self._jobs.lost_spec_jobs -= {job_id}
         self._request_scheduling()
 
+    async def _may_forget(self, job_id: str, unresolved: UnresolvedTasks) -> bool:
+        """Returns whether a job that is not held here may be forgotten.
+
+        A job without a specification has to stay known until an operator decides otherwise. Its record may also go once
+        the job has ended: it may have been submitted again and have completed since the last poll.
+        """
+        if not unresolved.spec_lost or Decision.FORGET in unresolved.decisions.values():
+            return True
+        if self._integrity.outcome_of(job_id) is not None:
+            return True
+        return await self._store.client.lookup(records.final_key(job_id)) is not None
+
     def _apply_decisions(self, job: Job, unresolved: UnresolvedTasks) -> bool:
         """Applies the decisions to a job; returns whether all its tasks are decided and all its changes stored."""
         blocked_tasks = unresolved.blocked_tasks()
--- a/tests/test_rebuild_unresolved.py
+++ b/tests/test_rebuild_unresolved.py
@@ -95,3 +95,26 @@
     cluster.submit(cluster.jobs[job])
     finish(cluster)
     assert job not in unresolved_jobs(cluster)
+
+
+def test_a_job_known_only_to_its_workers_is_resolved_if_it_ends_between_two_polls(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    # Guards against a record that stays forever because the job was submitted again and completed within one interval.
+    monkeypatch.setattr("stileloft.rebuild.unresolved_task_manager.DECISION_POLL_S", 15.0)
+    cluster = loaded_cluster(6)
+    cluster.run(24.0)
+    job = "j-000001"
+    assert any(split_task(task)[0] == job for task in cluster.checker.machine_by_task)
+    for node in cluster.nodes.values():
+        replica = node.rebuild.replicas.current
+        for key in [key for key in replica.records if job in key]:
+            del replica.records[key]
+    wiped_and_leader_killed(cluster)
+    cluster.run(45.0)
+    assert unresolved_jobs(cluster)[job]["unknown"]
+    cluster.submit(cluster.jobs[job])
+    finish(cluster)
+    cluster.run(20.0)
+    assert job not in unresolved_jobs(cluster)
+    assert cluster.checker.violations == []
