Worker leases: a task of a hanging machine no longer starts elsewhere before the machine is gone

Cause: the leader took the time since a worker's lease was last renewed for proof that the worker had ended its tasks. A hanging machine ends nothing. A rebuild without the last leader's replica releases the machines that were not heard before it places tasks. The fakes execute the commands that a hanging machine got when it goes on.

Two tests of WorkerLeases.has_expired checked after which time a lease counts as over. That time proves nothing, so they are replaced by stricter ones: no time ends a task while the cloud is out, the release does. The fault injected into the test of the checker is put into the check of the machines, and the duplicate heartbeat's test compares the last pushed heartbeat in place of the removed field.

--- a/stileloft/controller/controller.py
+++ b/stileloft/controller/controller.py
@@ -131,6 +131,7 @@
                 feature=self.features.rebuild,
                 state=self.clients.state,
                 peers=self.clients.peers,
+                cloud=self.clients.cloud,
                 leader_write_budget=self.budgets.leader_writes,
                 leadership=lambda: self.election,
                 legacy_chunk_size=self.record_format.legacy_chunk_size,
--- a/stileloft/jobs/task_lifecycle.py
+++ b/stileloft/jobs/task_lifecycle.py
@@ -68,6 +68,9 @@
     def end(self, placement: Placement, reason: str) -> None:
         """Ends a placement whose task is certainly off its machine; the task runs again unless it is done.
 
+        Proof is a heartbeat with this leader's token, or the cloud's confirmation that the machine is gone; the time
+        since the worker's lease was last renewed is none, as a hanging machine does not end its tasks.
+
         `reason`: an `EndReason`, or the exit reason that the worker gave.
         """
         if placement.state == PlacementState.ENDED:
--- a/stileloft/leadership/leader_components.py
+++ b/stileloft/leadership/leader_components.py
@@ -21,7 +21,6 @@
 from stileloft.machines.scale_out import MachineProvisioner
 from stileloft.machines.supervisor import MachineSupervisor
 from stileloft.machines.timeouts import FailureTimeouts
-from stileloft.machines.worker_leases import WorkerLeases
 from stileloft.model.cluster import ClusterState
 from stileloft.model.machines import Machine
 from stileloft.rebuild.unresolved_task_manager import UnresolvedTaskManager
@@ -163,17 +162,15 @@
         )
 
     def _build_scale_in(self) -> None:
-        """Builds the components of scale-in: boot monitor, worker leases, and release of machines."""
+        """Builds the components of scale-in: boot monitor, and release of machines."""
         env, clock, lease_s = self._environment, self._clock, self._timings.lease_s
         lag_s, failure_s = self._deployment.cloud.list_lag_s, self.timeouts.failure_s
         self.boots = BootMonitor(self.lease, env.catalog, clock, failure_s, lease_s, lag_s)
-        self.worker_leases = WorkerLeases(self.lease, self.lifecycle, lease_s)
         self.releaser = MachineReleaser(
             self.cluster,
             self.lease,
             self.authority,
             self.lifecycle,
-            self.worker_leases,
             self.images,
             env.cloud,
             clock,
@@ -216,7 +213,6 @@
             self.lease,
             PartitionDetector(self.cluster.lock, self.lease, env.peers, clock, self.timeouts, lease_s),
             self.boots,
-            self.worker_leases,
             self.releaser,
             self.lifecycle,
             clock,
--- a/stileloft/leadership/renewal_grace.py
+++ b/stileloft/leadership/renewal_grace.py
@@ -1,9 +1,10 @@
 """The time for which a leader may answer heartbeats without a confirmed lease."""
 
-from stileloft.machines.worker_leases import EXPIRY_MARGIN_LEASES
 from stileloft.settings import Workers
 from stileloft.transport.clock import MAX_CLOCK_DRIFT
 
+EXPIRY_MARGIN_LEASES = 0.1
+"""Time that a worker may take to notice that its lease has expired, in leases."""
 MAX_GRACE_LEASES = 3.0
 """Upper limit of the grace, in worker leases."""
 
--- a/stileloft/machines/scale_in.py
+++ b/stileloft/machines/scale_in.py
@@ -7,7 +7,6 @@
 from stileloft.leadership.authority import Authority
 from stileloft.leadership.lease import LeaderLease
 from stileloft.machines.image_locations import ImageLocations
-from stileloft.machines.worker_leases import WorkerLeases
 from stileloft.model.cluster import ClusterState
 from stileloft.model.machines import Machine
 from stileloft.protocol.cloud import RELEASE_LIMIT, CloudClient, CloudError
@@ -28,7 +27,11 @@
 
 
 class MachineReleaser:
-    """Releases machines; once the cloud has confirmed a release, all tasks on the machine are gone."""
+    """Releases machines; once the cloud has confirmed a release, all tasks on the machine are gone.
+
+    Only this confirmation, or a heartbeat, ends the tasks of a silent machine. The time since the worker's lease was
+    renewed does not: a machine that hangs keeps its tasks, and ends them only when it goes on.
+    """
 
     def __init__(
         self,
@@ -36,7 +39,6 @@
         lease: LeaderLease,
         authority: Authority,
         lifecycle: TaskLifecycle,
-        worker_leases: WorkerLeases,
         images: ImageLocations,
         cloud: CloudClient,
         clock: Clock,
@@ -47,7 +49,6 @@
         self._lease = lease
         self._authority = authority
         self._lifecycle = lifecycle
-        self._worker_leases = worker_leases
         self._images = images
         self._cloud = cloud
         self._clock = clock
@@ -83,7 +84,6 @@
             except CloudError as error:
                 log.debug("scale-in failed machines=%d error=%s", len(batch), error)
                 await sleep(self._clock, FAILED_RETRY_S)
-                self._end_expired_tasks()
                 continue
             except Exception:
                 log.exception("scale-in failed machines=%d", len(batch))
@@ -96,13 +96,6 @@
                     self._complete_release(machine)
             self._request_scheduling()
 
-    def _end_expired_tasks(self) -> None:
-        """Ends the tasks of machines that could not be released yet and whose worker's lease has expired."""
-        now = self._clock.seconds()
-        with self._cluster.lock:
-            for machine in self._queue.values():
-                self._worker_leases.end_expired_tasks(machine, now)
-
     def _complete_release(self, machine: Machine) -> None:
         """Removes a machine whose release the cloud has confirmed, and ends the tasks that were on it."""
         self._queue.pop(machine.id, None)
--- a/stileloft/machines/supervisor.py
+++ b/stileloft/machines/supervisor.py
@@ -5,7 +5,6 @@
 from stileloft.machines.boot_monitor import BootMonitor
 from stileloft.machines.partition_detector import PartitionDetector
 from stileloft.machines.scale_in import MachineReleaser
-from stileloft.machines.worker_leases import WorkerLeases
 from stileloft.model.cluster import ClusterState
 from stileloft.model.machines import Machine
 from stileloft.transport.clock import Clock
@@ -20,7 +19,6 @@
         lease: LeaderLease,
         partitions: PartitionDetector,
         boots: BootMonitor,
-        worker_leases: WorkerLeases,
         releaser: MachineReleaser,
         lifecycle: TaskLifecycle,
         clock: Clock,
@@ -30,7 +28,6 @@
         self._lease = lease
         self._partitions = partitions
         self._boots = boots
-        self._worker_leases = worker_leases
         self._releaser = releaser
         self._lifecycle = lifecycle
         self._clock = clock
@@ -53,7 +50,6 @@
             self._check_boot(machine, now)
             if machine.cloud_state != "running" and not machine.placements:
                 return
-        self._worker_leases.end_expired_tasks(machine, now)
         silent_s = now - max(machine.last_heartbeat_at, self._lease.began_at)
         if silent_s > self._failure_timeout_s and not partitioned:
             self._releaser.release(machine, f"no heartbeat for {silent_s:.1f} s")
--- a/stileloft/model/machines.py
+++ b/stileloft/model/machines.py
@@ -53,10 +53,7 @@
     heartbeat_received: bool = False
     last_heartbeat_at: float = 0.0
     claimed: bool = False
-    """Whether a token of this leader has arrived in a heartbeat: no former leader can then renew the worker's lease."""
-    lease_renewed_at: float = float("-inf")
-    """When the worker's lease was last renewed or may last have been renewed: at an answer to a heartbeat, at the
-    heartbeat that completed the claim, or at the first heartbeat of a new epoch."""
+    """Whether a token of this leader has arrived in a heartbeat: no former leader can then command the worker."""
     last_pushed_heartbeat_at: float = float("-inf")
     """When the worker last sent an unsolicited heartbeat; answers to commands renew no lease and do not count."""
     last_reachable_at: float = float("-inf")
--- a/stileloft/rebuild/environment.py
+++ b/stileloft/rebuild/environment.py
@@ -5,6 +5,7 @@
 from typing import Protocol
 
 from stileloft.features import RebuildFeature
+from stileloft.protocol.cloud import CloudClient
 from stileloft.protocol.peers import PeerClient
 from stileloft.protocol.state import StateClient
 from stileloft.settings import Settings
@@ -39,6 +40,7 @@
     feature: RebuildFeature
     state: StateClient
     peers: PeerClient
+    cloud: CloudClient
     leader_write_budget: TokenBucket
     """Limits the rate of changes that the leader makes in the store."""
     leadership: Callable[[], Leadership]
--- a/stileloft/rebuild/job_reconciler.py
+++ b/stileloft/rebuild/job_reconciler.py
@@ -1,7 +1,7 @@
 """Reconciles an unfinished job's records with the workers' heartbeats.
 
-Reconciliation is needed if the merged replica may be out of date. It begins once all tasks that no heartbeat lists have
-certainly ended: the heartbeats then show where the tasks are, and the replica shows only which tasks existed.
+Reconciliation is needed if the merged replica may be out of date. It begins once all machines without a heartbeat are
+gone: the heartbeats then show where the tasks are, and the replica shows only which tasks existed.
 """
 
 from collections.abc import Mapping, Sequence
--- a/stileloft/rebuild/rebuilder.py
+++ b/stileloft/rebuild/rebuilder.py
@@ -7,8 +7,9 @@
 
 import msgspec
 
-from stileloft.machines.worker_leases import EXPIRY_MARGIN_LEASES
+from stileloft.leadership.renewal_grace import EXPIRY_MARGIN_LEASES
 from stileloft.model import records
+from stileloft.protocol.cloud import CloudError
 from stileloft.protocol.messages import Heartbeat
 from stileloft.protocol.state import ConflictError, TooLargeError, UnavailableError, UnknownOutcomeError
 from stileloft.rebuild import identity as identities
@@ -21,6 +22,7 @@
 from stileloft.rebuild.reconstruction import Reconstruction, reconstruct
 from stileloft.rebuild.record_writer import RecordWriter
 from stileloft.rebuild.replica_merge import MergedReplica
+from stileloft.rebuild.silent_machines import SilentMachineReleaser, machines_named_in
 from stileloft.rebuild.snapshot_provider import SnapshotProvider
 from stileloft.rebuild.status_report import ProgressReport
 from stileloft.rebuild.store_status import StoreStatus
@@ -40,6 +42,7 @@
 
     REPLICAS = "reading the controllers' replicas"
     HEARTBEATS = "waiting for the workers' heartbeats"
+    SILENT_MACHINES = "releasing the machines without a heartbeat"
     RECORDS = "writing the records"
 
 
@@ -73,6 +76,7 @@
         self._merged: MergedReplica | None = None
         self._peers = PeerReplicas(environment, parts.store, parts.tokens)
         self._heartbeats = HeartbeatCollector(environment, parts.tokens, parts.detector, token)
+        self._silent_machines = SilentMachineReleaser(environment)
         self._writer = RecordWriter(environment, parts.store, lambda: self._active)
 
     def stop(self) -> None:
@@ -96,7 +100,7 @@
                 await self._environment.sleep(RETRY_S)
             except TooLargeError:
                 continue
-            except (UnavailableError, UnknownOutcomeError) as error:
+            except (UnavailableError, UnknownOutcomeError, CloudError) as error:
                 log.info("rebuild interrupted token=%d error=%s", self._token, error)
                 await self._environment.sleep(RETRY_S)
             except Exception:
@@ -108,6 +112,11 @@
         if not merged.has_last_leader:
             self._step = RebuildStep.HEARTBEATS
             merged = await self._await_heartbeats(merged)
+        if self._active and not merged.has_last_leader:
+            self._step = RebuildStep.SILENT_MACHINES
+            await self._silent_machines.release(
+                machines_named_in(merged.records), self._heartbeats.newest_heartbeats.keys()
+            )
         if not self._active:
             return
         self._step = RebuildStep.RECORDS
@@ -144,18 +153,18 @@
         return merged
 
     async def _await_heartbeats(self, merged: MergedReplica) -> MergedReplica:
-        """Waits until all tasks that no heartbeat lists have certainly ended.
+        """Waits until every worker that is alive has sent a heartbeat, or has lost its lease and so its tasks.
 
         Returns early if the last leader's replica, which has all placements, arrives.
         """
-        while self._active and not merged.has_last_leader and not self._have_unlisted_tasks_ended():
+        while self._active and not merged.has_last_leader and not self._have_leases_expired():
             await self._environment.sleep(RETRY_S)
             if await self._peers.request_missing():
                 merged = self._merge()
         return merged
 
-    def _have_unlisted_tasks_ended(self) -> bool:
-        """Whether the tasks that no heartbeat lists have ended, as their workers' leases have expired.
+    def _have_leases_expired(self) -> bool:
+        """Whether the leases that the last leader renewed have expired; a machine that hangs may still have its tasks.
 
         The last leader can have renewed leases only within the renewal grace after the loss.
         """
--- a/stileloft/rebuild/reconstruction.py
+++ b/stileloft/rebuild/reconstruction.py
@@ -12,6 +12,7 @@
 from stileloft.rebuild.evidence import Evidence, locate_tasks
 from stileloft.rebuild.job_outcomes import JobOutcomes
 from stileloft.rebuild.job_reconciler import JobReconciler
+from stileloft.rebuild.silent_machines import machines_named_in
 from stileloft.rebuild.stored_jobs import StoredJob
 from stileloft.rebuild.unresolved_tasks import UnresolvedTasks
 
@@ -127,15 +128,11 @@
 
     @functools.cached_property
     def _silent_machines(self) -> list[str]:
-        """Returns the machines that the replica names, and that have sent no heartbeat since the loss."""
-        named: set[str] = set()
-        for _, value in self._records(records.PROVISIONED):
-            named |= set(value["m"])
-        for prefix in (records.TASKS, records.ACTIVE):
-            for _, value in self._records(prefix):
-                placed = value.get("p") or value.get(records.INLINE_CHUNK, {}).get("p", {})
-                named |= {placement[1] for placement in placed.values()}
-        return sorted(named - set(self._evidence.heartbeats))
+        """Returns the machines that the replica names and that have sent no heartbeat since the loss.
+
+        The cloud has confirmed that they are gone, but tasks may have completed on them.
+        """
+        return sorted(machines_named_in(self._replica.records) - set(self._evidence.heartbeats))
 
     # -- unresolved tasks -----------------------------------------------------------
 
--- a/stileloft/workers/heartbeat_responder.py
+++ b/stileloft/workers/heartbeat_responder.py
@@ -102,6 +102,5 @@
         stopped = {(stop.task, stop.attempt) for stop in stops} if required else set()
         if not self._assertions.check_renewal(machine, stopped):
             return CommandMessage(NO_TOKEN, [])
-        machine.lease_renewed_at = now
         commands: list[Command] = [*stops, *self._planner.due_forgets(machine, MAX_COMMANDS_PER_ANSWER - len(stops))]
         return CommandMessage(machine.token, commands)
--- a/stileloft/workers/heartbeats.py
+++ b/stileloft/workers/heartbeats.py
@@ -49,7 +49,7 @@
             self._record_boot(machine, now)
         is_new_epoch = heartbeat.epoch != machine.epoch
         machine.epoch, machine.sequence = heartbeat.epoch, heartbeat.sequence
-        self._update_token(machine, heartbeat.token, is_new_epoch, now)
+        self._update_token(machine, heartbeat.token, now)
         machine.heartbeat_received = True
         if is_new_epoch:
             _drop_former_epoch(machine)
@@ -77,16 +77,12 @@
         self._boots.record_boot(machine)
         self._request_scheduling()
 
-    def _update_token(self, machine: Machine, token: int, is_new_epoch: bool, now: float) -> None:
+    def _update_token(self, machine: Machine, token: int, now: float) -> None:
         """Records the token that the worker knows; its heartbeats are trusted while this leader issued that token."""
         had_current_token = machine.has_current_token
         machine.has_current_token = self._tokens.is_own(token)
         machine.acknowledged_token = token
-        is_claimed_now = machine.has_current_token and not machine.claimed
-        if is_new_epoch or is_claimed_now:
-            # A new epoch lasts for one lease even without any answer, and so do tasks that are started in it.
-            machine.lease_renewed_at = now
-        if is_claimed_now:
+        if machine.has_current_token and not machine.claimed:
             machine.claimed = True
             machine.last_pushed_heartbeat_at = now  # a worker that learns a token sends a heartbeat at once
         if machine.has_current_token and not had_current_token:
--- a/tests/simulation/workers.py
+++ b/tests/simulation/workers.py
@@ -20,7 +20,9 @@
         self.cluster, self.name, self.kind, self.zone, self.spot = cluster, name, kind, zone, spot
         self.address = f"{name}:9000"
         self.rented_at = cluster.now
-        self.up = self.gone = self.hung = False
+        self.up = self.gone = self._hung = False
+        self.held_commands: list[Any] = []
+        """Command messages that arrived while the machine hung; it executes them when it goes on."""
         self.epoch, self.sequence, self.token = 1, 0, 0
         self.lease_renewed_at = cluster.now
         self.preempted_at: float | None = None
@@ -33,6 +35,31 @@
         self.heartbeat_in_flight = False
         self.images: set[str] = set()
 
+    @property
+    def hung(self) -> bool:
+        """Whether the machine hangs: it executes and sends nothing until it goes on."""
+        return self._hung
+
+    @hung.setter
+    def hung(self, hangs: bool) -> None:
+        goes_on = self._hung and not hangs
+        self._hung = hangs
+        if goes_on:
+            self.execute_held_commands()
+
+    def execute_held_commands(self) -> None:
+        """Executes the commands that arrived while the machine hung; their senders get no answer.
+
+        Every other machine does so before it notices that its lease has expired: the protocol does not say which comes
+        first.
+        """
+        if int(self.name.rpartition("-")[2]) % 2:
+            self.check_lease()
+        held, self.held_commands = self.held_commands, []
+        for body in held:
+            if not self.gone:
+                self.handle_command(body)
+
     def boot(self) -> None:
         if not self.gone:
             self.up = True
@@ -166,10 +193,18 @@
         self.target = names[(names.index(self.target) + 1) % len(names)]
 
     def command(self, body: Any) -> Reply:
-        """Handles a command message of a controller; raises `NoResponseError` while the machine hangs."""
+        """Handles a command message of a controller.
+
+        While the machine hangs, the message is kept until it goes on, and `NoResponseError` is raised.
+        """
         if self.hung:
+            self.held_commands.append(body)
             raise NoResponseError("hangs")
         self.check_lease()
+        return self.handle_command(body)
+
+    def handle_command(self, body: Any) -> Reply:
+        """Executes a command message if its token and epoch are valid, and returns the answer."""
         if body["baton"] < self.token or body["stint"] != self.epoch:
             self.count_refused_starts(body)
             return Reply(409, self.heartbeat())
--- a/tests/test_overlapping_faults.py
+++ b/tests/test_overlapping_faults.py
@@ -4,6 +4,8 @@
 
 from stileloft.leadership.leader import Leader
 from stileloft.model import records
+from stileloft.model.machines import Machine as LeaderMachine
+from stileloft.model.placements import Placement, PlacementState
 from stileloft.protocol import messages
 from stileloft.scheduling.decision_applier import DecisionApplier
 from stileloft.transport.client import NoResponseError, Reply
@@ -518,6 +520,26 @@
 # -- old heartbeats and a new leader ---------------------------------------------------------------------------------
 
 
+def bound_placements(machine: LeaderMachine) -> list[Placement]:
+    return [placement for placement in machine.placements.values() if placement.state is PlacementState.BOUND]
+
+
+def check_that_only_a_release_ends_the_tasks(cluster: SimulatedCluster, machine: LeaderMachine) -> None:
+    """Checks that a machine's tasks outlast every lease while the cloud is out, and end with the release."""
+    leader = cluster.nodes[cluster.leader()].leader
+    placed = bound_placements(machine)
+    assert placed
+    cloud_back_at = cluster.now + leader.lease.renewal_grace_s + 2.0 * cluster.LEASE_S
+    cluster.cloud.down_until = cloud_back_at
+    while cluster.now < cloud_back_at:
+        cluster.run(1.0)
+        assert bound_placements(machine) == placed
+    cluster.run(8.0)
+    assert machine.id in leader.releaser.released
+    assert bound_placements(machine) == []
+    assert cluster.checker.violations == []
+
+
 def test_an_old_heartbeat_does_not_shorten_the_wait_for_a_former_leader() -> None:
     """A new leader answers old heartbeats, but they do not prove that the worker has left the former leader.
 
@@ -540,17 +562,11 @@
     assert leader_machine.placements
     assert not leader_machine.claimed
     assert not leader.dispatcher.is_reachable(leader_machine, cluster.now)
-    assert not leader.worker_leases.has_expired(leader_machine, cluster.now + 1.2 * 12.0)
-    assert not leader.worker_leases.has_expired(
-        leader_machine, leader.lease.began_at + leader.lease.renewal_grace_s + 12.0
-    )
-    assert leader.worker_leases.has_expired(
-        leader_machine, leader.lease.began_at + leader.lease.renewal_grace_s + 1.2 * 12.0
-    )
+    check_that_only_a_release_ends_the_tasks(cluster, leader_machine)
 
 
-def test_an_epoch_without_an_answer_lasts_for_a_lease() -> None:
-    """Tasks that were started in a new epoch outlive the lease of the epoch before."""
+def test_tasks_of_a_new_epoch_end_only_with_the_release_of_a_silent_machine() -> None:
+    """Tasks that were started in a new epoch outlive the leases of both epochs."""
     cluster = SimulatedCluster(seed=8, loss=0.0)
     submit_long_jobs(cluster)
     cluster.run(40)
@@ -559,11 +575,9 @@
     leader_machine = leader.cluster.machines[machine.name]
     for name in cluster.names:
         cluster.partition(machine.name, name, 90.0)
-    leader_machine.lease_renewed_at = cluster.now - 11.9
     machine.epoch += 1
     leader.heartbeats.process(messages.parse_heartbeat(machine.heartbeat()))
-    assert not leader.worker_leases.has_expired(leader_machine, cluster.now + 12.0)
-    assert leader.worker_leases.has_expired(leader_machine, cluster.now + 1.2 * 12.0)
+    check_that_only_a_release_ends_the_tasks(cluster, leader_machine)
 
 
 def test_no_lease_is_renewed_before_the_store_is_read() -> None:
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -10,7 +10,7 @@
 from stileloft.jobs.admission import Admission
 from stileloft.jobs.errors import RetryLaterError
 from stileloft.leadership.renewal_grace import renewal_grace
-from stileloft.machines.worker_leases import WorkerLeases
+from stileloft.machines.supervisor import MachineSupervisor
 from stileloft.model.jobs import EndPhase, Job
 from stileloft.protocol import messages
 from stileloft.protocol.commands import CommandMessage, StartCommand
@@ -294,7 +294,7 @@
     cluster.run(3.0)
     before = (
         machine.last_heartbeat_at,
-        machine.lease_renewed_at,
+        machine.last_pushed_heartbeat_at,
         machine.last_reachable_at,
         machine.epoch,
         machine.sequence,
@@ -303,7 +303,7 @@
     assert cluster.deliver_heartbeat(leader_name, body).body == {"baton": 0, "orders": []}
     assert (
         machine.last_heartbeat_at,
-        machine.lease_renewed_at,
+        machine.last_pushed_heartbeat_at,
         machine.last_reachable_at,
         machine.epoch,
         machine.sequence,
@@ -343,8 +343,16 @@
 
 
 def test_the_checker_detects_a_task_that_runs_twice(monkeypatch: pytest.MonkeyPatch) -> None:
-    """Controllers that do not wait for the lease of a silent machine break a rule, and the checker reports it."""
-    monkeypatch.setattr(WorkerLeases, "has_expired", lambda _, machine, now: now - machine.last_heartbeat_at > 3.0)
+    """Controllers that take a machine's silence for the end of its tasks break a rule, and the checker reports it."""
+    check_machine = MachineSupervisor._check_machine
+
+    def end_tasks_of_silent_machine(self: MachineSupervisor, machine: Any, now: float, partitioned: bool) -> None:
+        if now - machine.last_heartbeat_at > 3.0:
+            for placement in list(machine.placements.values()):
+                self._lifecycle.end(placement, "silent")
+        check_machine(self, machine, now, partitioned)
+
+    monkeypatch.setattr(MachineSupervisor, "_check_machine", end_tasks_of_silent_machine)
     cluster = SimulatedCluster(seed=7)
     submit_mixed_jobs(cluster)
     cluster.clock.callLater(35.0, hang_two_machines(10.0), cluster)
