Commands: a machine whose commands failed is probed until one is answered

Cause: two failed commands in a row keep tasks from a machine, only an answered command clears that, and a machine without tasks got none. Messages that the leader itself withdrew counted as failures too. Evidence: 'command outcome unknown ... failures=2' for both machines, then no command to them.

--- a/stileloft/model/machines.py
+++ b/stileloft/model/machines.py
@@ -7,6 +7,9 @@
 from stileloft.model.placements import Placement, TaskKey
 from stileloft.protocol.messages import JobSpec, MachineType
 
+MAX_SEND_FAILURES = 2
+"""A machine gets no more tasks after this many consecutive commands to it have failed, until one is answered."""
+
 
 @dataclass(slots=True)
 class OrphanedTask:
@@ -90,7 +93,7 @@
     command_in_flight: bool = False
     """Whether a command was sent and has not been answered; at most one command is in flight."""
     send_failures: int = 0
-    """Consecutive commands that failed."""
+    """Consecutive commands that failed; an answered command resets it, so failures have to be followed by a probe."""
     retry_at: float = 0.0
     """No command is sent before this time."""
     token: int = 0
@@ -116,6 +119,11 @@
     scheduling_view_at: float = 0.0
     """When `scheduling_view` was made."""
 
+    @property
+    def accepts_commands(self) -> bool:
+        """Whether commands to the worker are answered, as far as the newest ones show."""
+        return self.send_failures < MAX_SEND_FAILURES
+
 
 def fits_type(spec: JobSpec, machine_type: MachineType) -> bool:
     """Whether a task of the job may run on machines of this type, and fits on an empty one."""
--- a/stileloft/protocol/workers.py
+++ b/stileloft/protocol/workers.py
@@ -23,6 +23,10 @@
     """The commands were not executed and never will be."""
 
 
+class WithdrawnError(NotDeliveredError):
+    """The commands were withdrawn before they were sent, which says nothing about the worker."""
+
+
 class UncertainDeliveryError(DeliveryError):
     """The commands may have been executed, or may still be executed later."""
 
@@ -48,13 +52,21 @@
         """Sends commands to a worker; raises `NotDeliveredError` or `UncertainDeliveryError`.
 
         `is_wanted` is called just before the commands are sent; if it returns False, they are not sent and
-        `NotDeliveredError` is raised.
+        `WithdrawnError` is raised.
         """
         body = msgspec.to_builtins(CommandMessage(token, commands, epoch))
+        withdrawn = False
+
+        def is_still_wanted() -> bool:
+            nonlocal withdrawn
+            withdrawn = not is_wanted()
+            return not withdrawn
+
         try:
-            reply = await self._client.request("POST", address, COMMANDS_PATH, body, self._timeout_s, is_wanted)
+            reply = await self._client.request("POST", address, COMMANDS_PATH, body, self._timeout_s, is_still_wanted)
         except ConnectionFailedError as error:
-            raise NotDeliveredError(str(error), operation=COMMANDS_OPERATION, target=address) from None
+            kind = WithdrawnError if withdrawn else NotDeliveredError
+            raise kind(str(error), operation=COMMANDS_OPERATION, target=address) from None
         except NoResponseError as error:
             raise UncertainDeliveryError(str(error), operation=COMMANDS_OPERATION, target=address) from None
         if reply.status not in (HTTPStatus.OK, HTTPStatus.CONFLICT):
--- a/stileloft/scheduling/machine_view_cache.py
+++ b/stileloft/scheduling/machine_view_cache.py
@@ -16,8 +16,6 @@
 """A cached view is rebuilt after this many seconds, because its tasks' remaining times become outdated."""
 RECENT_START_S = 30.0
 """A start counts for a start objective if the task is not stopped within this many seconds."""
-MAX_SEND_FAILURES = 2
-"""No tasks are placed on a machine after this many consecutive commands to it have failed."""
 
 
 class MachineViewCache:
@@ -63,7 +61,7 @@
         return (
             machine.has_current_token
             and now - machine.last_pushed_heartbeat_at <= self._heartbeat_overdue_s
-            and machine.send_failures < MAX_SEND_FAILURES
+            and machine.accepts_commands
             and self._is_reachable(machine, now)
         )
 
--- a/stileloft/workers/dispatcher.py
+++ b/stileloft/workers/dispatcher.py
@@ -69,7 +69,7 @@
         self._metrics = metrics
         self._after_heartbeat = after_heartbeat
         self._claims_in_flight = 0
-        self._max_claims = int(MAX_CLAIMS_SOCKET_FRACTION * settings.max_sockets)
+        self._max_claims = max(1, int(MAX_CLAIMS_SOCKET_FRACTION * settings.max_sockets))
         """Limit of claims in flight; the periodic check of the machines sends the other claims later."""
 
     def is_reachable(self, machine: Machine, now: float) -> bool:
@@ -129,13 +129,17 @@
             and not machine.placements
             and not machine.orphaned_tasks
             and not self._fencing.is_acknowledgement_overdue(machine, now)
-            and self.is_reachable(machine, now)
+            and not self._needs_probe(machine, now)
         )
 
+    def _needs_probe(self, machine: Machine, now: float) -> bool:
+        """Returns whether the machine gets no tasks until a command is answered; other commands may never be due."""
+        return not machine.accepts_commands or not self.is_reachable(machine, now)
+
     def _may_claim(self, machine: Machine, now: float) -> bool:
         """Returns whether the machine needs a claim or a reachability probe, may answer it, and a socket is free."""
         is_claimed = machine.has_current_token and not self._fencing.is_acknowledgement_overdue(machine, now)
-        if is_claimed and (self.is_reachable(machine, now) or not machine.heartbeat_received):
+        if is_claimed and not (machine.heartbeat_received and self._needs_probe(machine, now)):
             return False
         return _can_answer(machine) and self._claims_in_flight < self._max_claims
 
--- a/stileloft/workers/transmission.py
+++ b/stileloft/workers/transmission.py
@@ -10,7 +10,7 @@
 from stileloft.model.placements import Placement
 from stileloft.protocol.commands import Command
 from stileloft.protocol.messages import Heartbeat
-from stileloft.protocol.workers import NotDeliveredError, UncertainDeliveryError, WorkerClient
+from stileloft.protocol.workers import NotDeliveredError, UncertainDeliveryError, WithdrawnError, WorkerClient
 from stileloft.store.integrity import StoreIntegrity
 from stileloft.transport.clock import Clock
 from stileloft.workers.command_assertions import CommandAssertions
@@ -89,6 +89,10 @@
                 batch.commands,
                 lambda: self._is_still_allowed(batch),
             )
+        except WithdrawnError:
+            machine.command_in_flight = False
+            machine.retry_at = self._clock.seconds() + self._retry_s
+            return None
         except (NotDeliveredError, UncertainDeliveryError) as error:
             self._record_failure(batch, error)
             return None
--- /dev/null
+++ b/tests/test_machine_recovery.py
@@ -0,0 +1,178 @@
+"""Machines that could not be used for a while are used again: each mark on them clears without a change of leader."""
+
+import pytest
+
+from stileloft.leadership.authority import Authority, Refusal
+from stileloft.machines.scale_in import MachineReleaser
+from stileloft.model.machines import Machine as LeaderMachine
+from stileloft.transport.client import ConnectionFailedError, Reply
+from tests.simulation.cluster import SimulatedCluster
+from tests.simulation.faults import hang_two_machines
+from tests.simulation.network import MessageDelay
+from tests.simulation.timed_faults import (
+    Fault,
+    block_one_direction,
+    delay_commands,
+    hang_every_nth_machine,
+    outage,
+    partition_every_nth_machine,
+    refuse_leader,
+)
+from tests.simulation.workers import Machine
+from tests.simulation.workloads import run_until_jobs_end
+
+MACHINES = 2
+FAULT_S = 10.0
+RECOVERY_S = 15.0
+"""Time after a fault within which all machines have to be usable again; some heartbeats and back-offs."""
+
+
+@pytest.fixture(autouse=True)
+def _idle_machines_are_kept(monkeypatch: pytest.MonkeyPatch) -> None:
+    release = MachineReleaser.release
+
+    def release_unless_idle(self: MachineReleaser, machine: LeaderMachine, reason: str) -> None:
+        if reason != "it is idle":
+            release(self, machine, reason)
+
+    monkeypatch.setattr(MachineReleaser, "release", release_unless_idle)
+
+
+def cluster_with_idle_machines(seed: int) -> SimulatedCluster:
+    """Returns a cluster with all the machines that it can have, which are up and idle."""
+    cluster = SimulatedCluster(seed, loss=0.0)
+    cluster.cloud.max_machines = MACHINES
+    cluster.cloud.failed_boot_share = 0.0
+    cluster.submit(cluster.job(1, pieces=16, vcpus=8.0, guessS=4.0))
+    while cluster.checker.last_phase.get("j-000001") != "done":
+        cluster.run(1)
+        assert cluster.now < 200.0
+    cluster.run(3)
+    assert len(machines_up(cluster)) == MACHINES
+    return cluster
+
+
+def machines_up(cluster: SimulatedCluster) -> list[Machine]:
+    return [machine for machine in cluster.cloud.machines.values() if machine.up]
+
+
+def not_ready(cluster: SimulatedCluster) -> list[str]:
+    """Returns the machines that are up and that the leader does not use."""
+    leader = cluster.nodes[cluster.leader()].leader
+    return [
+        machine.id
+        for machine in leader.cluster.machines.values()
+        if machine.id in cluster.cloud.machines
+        and not machine.releasing
+        and not leader.machine_views.is_ready(machine, cluster.now)
+    ]
+
+
+def hold_commands(seconds: float, delay_s: float) -> Fault:
+    """Returns a fault: commands are carried out `delay_s` late and their answers are lost."""
+
+    def start(cluster: SimulatedCluster) -> None:
+        cluster.message_delays.append(MessageDelay(cluster.now + seconds, delay_s, delay_s))
+
+    return start
+
+
+def refuse_command_connections(seconds: float) -> Fault:
+
+    def start(cluster: SimulatedCluster) -> None:
+        until = cluster.now + seconds
+        for machine in machines_up(cluster):
+            command = machine.command
+
+            def refuse(body: object, command=command) -> Reply:
+                if cluster.now >= until:
+                    return command(body)
+                raise ConnectionFailedError("refused")
+
+            machine.command = refuse  # type: ignore[method-assign]
+
+    return start
+
+
+def answer_commands_with_an_error(seconds: float) -> Fault:
+    def start(cluster: SimulatedCluster) -> None:
+        until = cluster.now + seconds
+        for machine in machines_up(cluster):
+            command = machine.command
+
+            def refuse(body: object, command=command) -> Reply:
+                return command(body) if cluster.now >= until else Reply(500, {})
+
+            machine.command = refuse  # type: ignore[method-assign]
+
+    return start
+
+
+FAULTS: dict[str, Fault] = {
+    "commands are held up for 6 s": hold_commands(6.5, 6.0),
+    "commands are held up for 10 s": hold_commands(FAULT_S, 7.0),
+    "commands are held up for up to 9 s": delay_commands(FAULT_S),
+    "connections for commands are refused": refuse_command_connections(FAULT_S),
+    "commands are answered with an error": answer_commands_with_an_error(FAULT_S),
+    "nothing reaches the machines": block_one_direction("inbound_blocked", FAULT_S, step=1),
+    "the machines reach nobody": block_one_direction("outbound_blocked", 4.0, step=1),
+    "the machines hang": hang_every_nth_machine(4.0, step=1),
+    "one machine is cut off": partition_every_nth_machine(4.0, step=2),
+    "two machines hang": hang_two_machines(5.0),
+    "the leader is refused by the state service": lambda cluster: refuse_leader(cluster, 1.0),
+    "the state service is out": outage(FAULT_S),
+}
+
+
+@pytest.mark.parametrize("loaded", [True, False], ids=["with a job", "idle"])
+@pytest.mark.parametrize("name", FAULTS)
+def test_machines_are_used_again_after_a_fault(name: str, loaded: bool) -> None:
+    # Guards against a mark on a machine that only an answered command clears, and that keeps commands from being sent.
+    cluster = cluster_with_idle_machines(5)
+    FAULTS[name](cluster)
+    if loaded:
+        cluster.submit(cluster.job(2, pieces=2, vcpus=4.0, guessS=3.0))
+    cluster.run(FAULT_S + RECOVERY_S)
+    assert not_ready(cluster) == []
+    cluster.submit(cluster.job(3, pieces=2, vcpus=4.0, guessS=3.0))
+    run_until_jobs_end(cluster, 200.0)
+    assert cluster.checker.violations == []
+    assert cluster.checker.started_at["j-000003"] - cluster.checker.submitted_at["j-000003"] < 60.0
+
+
+def test_an_accepted_job_starts_beside_machines_whose_commands_were_held_up() -> None:
+    # Guards against a job that waits for good because two commands in a row to each machine got no answer.
+    cluster = cluster_with_idle_machines(5)
+    leader = cluster.leader()
+    FAULTS["commands are held up for 6 s"](cluster)
+    cluster.submit(cluster.job(2, pieces=4, vcpus=4.0, guessS=3.0))
+    cluster.run(25.0)
+    assert cluster.checker.last_phase["j-000002"] == "done"
+    cluster.submit(cluster.job(3, pieces=4, vcpus=4.0, guessS=3.0))
+    cluster.run(30.0)
+    assert cluster.checker.last_phase["j-000003"] == "done"
+    assert cluster.leader() == leader
+    assert len(cluster.all_machines) == MACHINES
+    assert cluster.checker.violations == []
+
+
+def test_withdrawn_messages_say_nothing_about_their_machine(monkeypatch: pytest.MonkeyPatch) -> None:
+    # Guards against a machine that counts as failing because the leader itself withdrew two messages to it.
+    cluster = cluster_with_idle_machines(5)
+    check, refused = Authority.check_transmission, []
+
+    def refuse_starts(self: Authority, starts: list, machine: object) -> Refusal | None:
+        if starts and len(refused) < 8:
+            refused.append(machine)
+            return Refusal.CANCELLATIONS_STALE
+        return check(self, starts, machine)
+
+    monkeypatch.setattr(Authority, "check_transmission", refuse_starts)
+    cluster.submit(cluster.job(2, pieces=2, vcpus=4.0, guessS=3.0))
+    while len(refused) < 8:
+        cluster.run(0.1)
+        assert not_ready(cluster) == []
+        assert cluster.now < 250.0
+    run_until_jobs_end(cluster, 60.0)
+    assert cluster.checker.last_phase["j-000002"] == "done"
+    assert cluster.checker.violations == []
