Failures: a job's failures are forgotten by time too, not only when a task completes

Cause: a job that failed on two machines gets no task while one is placed, and only a completed task cleared its failures. Change: failures expire if none follows within three worker leases and twice the time of a further try (back-off, run time until the failure). A job that always fails is still tried with one task at a time.

--- a/stileloft/jobs/failure_attribution.py
+++ b/stileloft/jobs/failure_attribution.py
@@ -9,6 +9,7 @@
 from stileloft.model.jobs import Job
 from stileloft.model.machines import Machine
 from stileloft.model.placements import Placement
+from stileloft.transport.clock import Clock
 
 log = logging.getLogger(__name__)
 
@@ -20,6 +21,10 @@
 """A job that failed on this many machines is taken to be faulty: its failures are no evidence against a machine."""
 AVOID_LEASES = 4.0
 """How long a job avoids a machine on which it failed, in worker leases."""
+FAILURE_RETENTION_LEASES = 3.0
+"""How long a job's failures are remembered without another one, in worker leases, beside the time of a further try."""
+FURTHER_TRY_FACTOR = 2.0
+"""A further try may take this multiple of the job's back-off and of the time that its task ran until it failed."""
 SLOW_FACTOR = 3.0
 """A task that ran longer than this multiple of its job's median run time on other machines counts as slow."""
 MIN_COMPARED_TASKS = 2
@@ -32,11 +37,17 @@
     """Drains faulty and slow machines, and backs off faulty jobs. Called with the cluster's lock held."""
 
     def __init__(
-        self, cluster: ClusterState, lifecycle: TaskLifecycle, backoff: JobBackoff, worker_lease_s: float
+        self,
+        cluster: ClusterState,
+        lifecycle: TaskLifecycle,
+        backoff: JobBackoff,
+        clock: Clock,
+        worker_lease_s: float,
     ) -> None:
         self._cluster = cluster
         self._lifecycle = lifecycle
         self._backoff = backoff
+        self._clock = clock
         self._worker_lease_s = worker_lease_s
 
     def record_failure(self, machine: Machine, placement: Placement) -> None:
@@ -49,6 +60,7 @@
             self._backoff.avoid_machine(placement, AVOID_LEASES * self._worker_lease_s)
             if len(job.failed_machines) >= FAULTY_JOB_MACHINES:
                 self._backoff.back_off(job)
+            self._extend_failures(job, placement)
         if self._is_faulty(machine) and machine.drain_reason is None:
             log.info(
                 "machine drained machine=%s reason=%r failed_jobs=%d",
@@ -60,10 +72,16 @@
             for other in list(machine.placements.values()):
                 self._lifecycle.stop(other)
 
+    def _extend_failures(self, job: Job, placement: Placement) -> None:
+        """Keeps the job's failures until a further try would have failed too, if its tasks still fail."""
+        now = self._clock.seconds()
+        ran_s = 0.0 if placement.running_since is None else now - placement.running_since
+        further_try_s = FURTHER_TRY_FACTOR * (job.backoff_s + ran_s)
+        job.failures_expire_at = now + FAILURE_RETENTION_LEASES * self._worker_lease_s + further_try_s
+
     def record_success(self, job: Job) -> None:
-        """Clears the job's failures and back-off after a task is done: earlier failures are no evidence any more."""
-        job.failed_machines.clear()
-        job.backoff_s = 0.0
+        """Clears the job's failures and back-off after a task is done."""
+        job.clear_failures()
 
     def record_run_time(self, machine: Machine, job: Job, run_time_s: float) -> None:
         """Records a run time, and drains a machine that is much slower than others with the same jobs' tasks."""
--- a/stileloft/leadership/leader_components.py
+++ b/stileloft/leadership/leader_components.py
@@ -107,7 +107,7 @@
             self._send_commands,
         )
         backoff = JobBackoff(self.cluster, clock, self.request_scheduling)
-        attribution = FailureAttribution(self.cluster, self.lifecycle, backoff, self._timings.lease_s)
+        attribution = FailureAttribution(self.cluster, self.lifecycle, backoff, clock, self._timings.lease_s)
         self.exits = TaskExitHandler(self.cluster, self.lifecycle, attribution, backoff, self.workload, self._timings)
 
     def _build_store(self) -> None:
--- a/stileloft/model/jobs.py
+++ b/stileloft/model/jobs.py
@@ -70,6 +70,8 @@
         self.last_placed_at = float("-inf")
         """When a task of the job was last placed."""
         self.failed_machines: set[str] = set()
+        """Machines on which tasks have failed; cleared by a completed task, and by time (`expire_failures`)."""
+        self.failures_expire_at = 0.0
         self.backoff_until = 0.0
         self.backoff_s = 0.0
         """Back-off after the newest failure, while the job fails on several machines, in seconds."""
@@ -162,6 +164,16 @@
         self._free_tasks_limit = 0
         self.zones[placement.zone] -= 1
 
+    def clear_failures(self) -> None:
+        """Forgets the failures and the back-off: earlier failures are no evidence any more."""
+        self.failed_machines.clear()
+        self.backoff_s = 0.0
+
+    def expire_failures(self, now: float) -> None:
+        """Forgets the failures if none has followed for long: a service's tasks never complete."""
+        if self.failed_machines and now >= self.failures_expire_at:
+            self.clear_failures()
+
     def coalesce_completions(self, now: float, flush_now: bool) -> None:
         """Lets the completion of a task share a write with others, unless it is the last or `flush_now` is set."""
         completed = sum(1 for p in self.placements() if p.state == PlacementState.ENDED and p.done)
--- a/stileloft/scheduling/pending_jobs.py
+++ b/stileloft/scheduling/pending_jobs.py
@@ -44,6 +44,7 @@
         excluded = self._excluded_machines(now)
         pending_jobs = []
         for job in self._cluster.jobs.values():
+            job.expire_failures(now)
             if job.waiting <= 0 or job.backoff_until > now or job.reload_pending:
                 continue
             if job.spec.is_gang and job.placed:
--- a/tests/test_job_parts.py
+++ b/tests/test_job_parts.py
@@ -43,7 +43,7 @@
         self.cluster = ClusterState()
         self.lifecycle: Any = StubLifecycle()
         self.backoff = JobBackoff(self.cluster, self.clock, lambda: None)
-        self.attribution = FailureAttribution(self.cluster, self.lifecycle, self.backoff, LEASE_S)
+        self.attribution = FailureAttribution(self.cluster, self.lifecycle, self.backoff, self.clock, LEASE_S)
         for number in range(jobs):
             spec = parse_job(SimulatedCluster.job(None, number))  # type: ignore[arg-type]
             self.cluster.jobs[spec.id] = Job(spec, 0.0, 8)
--- a/tests/test_machine_recovery.py
+++ b/tests/test_machine_recovery.py
@@ -6,6 +6,7 @@
 from stileloft.machines.scale_in import MachineReleaser
 from stileloft.model.machines import Machine as LeaderMachine
 from stileloft.transport.client import ConnectionFailedError, Reply
+from tests.rules import MAX_PLACEMENT_DELAY_S
 from tests.simulation.cluster import SimulatedCluster
 from tests.simulation.faults import hang_two_machines
 from tests.simulation.network import MessageDelay
@@ -176,3 +177,51 @@
     run_until_jobs_end(cluster, 60.0)
     assert cluster.checker.last_phase["j-000002"] == "done"
     assert cluster.checker.violations == []
+
+
+def fail_two_tasks_once(cluster: SimulatedCluster, job: str) -> None:
+    """Runs the cluster until two tasks of the job have failed once, each on a machine of its own."""
+    failing = {f"{job}/1", f"{job}/2"}
+    cluster.run_times |= dict.fromkeys(failing, 1.0)
+    cluster.run_times[f"{job}/0"] = 10_000.0
+    cluster.failing_jobs.add(job)
+    failed: set[str] = set()
+    while failed < failing:
+        cluster.run(0.1)
+        for task in failing - failed:
+            if cluster.checker.starts_by_task.get(task) and task not in cluster.checker.machine_by_task:
+                failed.add(task)
+                cluster.run_times[task] = 10_000.0
+        assert cluster.now < 200.0
+    cluster.failing_jobs.clear()
+
+
+@pytest.mark.parametrize("shape", ["standing", "array"])
+def test_tasks_that_failed_once_run_again_beside_one_that_does_not_end(
+    shape: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    # Guards against failures that only a completed task clears: no task of a service ever completes.
+    monkeypatch.undo()
+    cluster = SimulatedCluster(5, loss=0.0)
+    cluster.cloud.failed_boot_share = 0.0
+    cluster.submit(cluster.job(2, shape=shape, pieces=3, vcpus=8.0, builds=["small"], guessS=100.0))
+    fail_two_tasks_once(cluster, "j-000002")
+    cluster.run(MAX_PLACEMENT_DELAY_S)
+    assert {f"j-000002/{index}" for index in range(3)} == set(cluster.checker.machine_by_task)
+    assert cluster.checker.violations == []
+
+
+def test_a_job_that_fails_slowly_is_still_tried_with_one_task_at_a_time() -> None:
+    """Failures stay known for as long as the next one may take: by the time that the tasks ran until they failed."""
+    cluster = SimulatedCluster(5, loss=0.0)
+    cluster.cloud.failed_boot_share = 0.0
+    cluster.submit(cluster.job(2, pieces=12, vcpus=8.0, builds=["small"], guessS=80.0))
+    for index in range(12):
+        cluster.run_times[f"j-000002/{index}"] = 80.0
+    cluster.failing_jobs.add("j-000002")
+    while sum(cluster.checker.starts_by_task.values()) < 3 or cluster.checker.machine_by_task:
+        cluster.run(0.5)
+        assert cluster.now < 300.0
+    for _ in range(600):
+        cluster.run(0.5)
+        assert len(cluster.checker.machine_by_task) <= 1
