Fencing: a start that replaces another attempt on its machine first fences that attempt's start

Cause: a worker may know only the newest attempt of a task (PROTOCOL leaves it open), so the earlier attempt, which it had kept, was forgotten with the next start, while a copy of the earlier start still carried a valid token. Change: before such a start the machine's token is raised, so that the message that replaces the attempt also bars its copies.

--- a/stileloft/model/inflight_starts.py
+++ b/stileloft/model/inflight_starts.py
@@ -53,6 +53,14 @@
         """Returns the highest token under which any of these starts was sent; 0 if none of them is in flight."""
         return max((self.by_attempt[key].token for key in keys if key in self.by_attempt), default=0)
 
+    def attempts_since(self, token: int) -> dict[str, set[int]]:
+        """Returns, by task, the attempts whose start was sent under this token or a higher one."""
+        attempts: dict[str, set[int]] = {}
+        for (task, attempt), start in self.by_attempt.items():
+            if start.token >= token:
+                attempts.setdefault(task, set()).add(attempt)
+        return attempts
+
     def drop_fenced(self, epoch: int, acknowledged_token: int) -> None:
         """Removes starts of an earlier epoch or with a lower token.
 
--- a/stileloft/workers/dispatcher.py
+++ b/stileloft/workers/dispatcher.py
@@ -85,6 +85,8 @@
             return
         self._fencing.fence_starts_of_ended_jobs(machine, now)
         starts = self._planner.due_starts(machine)[:MAX_COMMANDS_PER_MESSAGE]
+        if not self._fencing.fence_former_attempts(machine, starts, now):
+            starts = []
         stops = self._planner.due_stops(machine, MAX_COMMANDS_PER_MESSAGE)
         is_claim = not starts and not stops
         if is_claim and not self._may_claim(machine, now):
--- a/stileloft/workers/fencing.py
+++ b/stileloft/workers/fencing.py
@@ -75,6 +75,24 @@
             and self._cluster.job_has_ended(placement.job)
         ]
 
+    def fence_former_attempts(self, machine: Machine, starts: list[Placement], now: float) -> bool:
+        """Raises the token if a start would replace another attempt of its task whose start is still in flight.
+
+        A worker may know only the newest attempt of a task, so that a late copy of an earlier start would run again.
+        Returns whether the starts may be sent; if not, requests the spare token that they lack.
+        """
+        if not starts:
+            return True
+        in_flight = machine.inflight_starts.attempts_since(machine.token)
+        replacing = [start for start in starts if in_flight.get(start.task, set()) - {start.attempt}]
+        if not replacing:
+            return True
+        reason = f"start of task {replacing[0].task} attempt {replacing[0].attempt} replaces one that is in flight"
+        if self._raise_token(machine, now, reason) and self._tokens.has_spare_above(machine.token):
+            return True
+        self.request_spare_token(machine, starts)
+        return False
+
     def fence_for_forgets(self, machine: Machine, now: float) -> None:
         """Raises the token so that exited attempts can be forgotten, once a heartbeat has acknowledged the token.
 
--- a/tests/simulation/workers.py
+++ b/tests/simulation/workers.py
@@ -1,5 +1,6 @@
 """Fakes of machines with their workers: heartbeats, commands, leases, and running tasks."""
 
+from collections.abc import Callable
 from typing import TYPE_CHECKING, Any
 
 from twisted.internet import defer
@@ -21,14 +22,21 @@
         self.address = f"{name}:9000"
         self.rented_at = cluster.now
         self.up = self.gone = self._hung = False
-        self.held_commands: list[Any] = []
-        """Command messages that arrived while the machine hung; it executes them when it goes on."""
+        self.held_commands: list[Callable[[], Any]] = []
+        """Handlers of the command messages that arrived while the machine hung; they run when it goes on."""
         self.epoch, self.sequence, self.token = 1, 0, 0
         self.lease_renewed_at = cluster.now
         self.preempted_at: float | None = None
         """When the cloud takes a spot machine back; None if no preemption is announced."""
         self.tasks: dict[str, dict[str, Any]] = {}
         """The state of each task: attempt, phase, cause of exit and others."""
+        number = int(name.rpartition("-")[2])
+        self.ends_epoch_first = number % 2 == 1
+        """Whether a machine that goes on after a hang ends an expired session before it executes held commands."""
+        self.remembers_attempts = number // 2 % 2 == 1
+        """Whether the worker knows exited attempts of a task beside the newest one; the protocol allows both."""
+        self.former_attempts: dict[tuple[str, int], str] = {}
+        """The cause of exit of each former attempt that the worker remembers and reports."""
         self.target = cluster.random.choice(cluster.names)
         self.connected_to: str | None = None
         """The controller to which the heartbeat connection is open."""
@@ -48,17 +56,13 @@
             self.execute_held_commands()
 
     def execute_held_commands(self) -> None:
-        """Executes the commands that arrived while the machine hung; their senders get no answer.
-
-        Every other machine does so before it notices that its lease has expired: the protocol does not say which comes
-        first.
-        """
-        if int(self.name.rpartition("-")[2]) % 2:
+        """Executes the commands that arrived while the machine hung; their senders get no answer."""
+        if self.ends_epoch_first:
             self.check_lease()
         held, self.held_commands = self.held_commands, []
-        for body in held:
+        for handle in held:
             if not self.gone:
-                self.handle_command(body)
+                handle()
 
     def boot(self) -> None:
         if not self.gone:
@@ -87,6 +91,10 @@
             "pieces": [
                 {"piece": t, "try": s["try"], "phase": s["phase"], "cause": s["cause"], "kept": s.get("kept", False)}
                 for t, s in self.tasks.items()
+            ]
+            + [
+                {"piece": t, "try": attempt, "phase": "exited", "cause": cause, "kept": False}
+                for (t, attempt), cause in self.former_attempts.items()
             ],
         }
 
@@ -101,11 +109,7 @@
         """Ends all tasks and starts a new epoch if the lease has expired."""
         if self.cluster.now - self.lease_renewed_at > self.cluster.LEASE_S:
             self.cluster.expired_leases += 1
-            for name in list(self.tasks):
-                self.record_end(name)
-            self.tasks.clear()
-            self.epoch += 1
-            self.lease_renewed_at = self.cluster.now
+            self.restart_in_next_epoch()
 
     def send_heartbeats_periodically(self) -> None:
         if self.gone:
@@ -198,10 +202,34 @@
         While the machine hangs, the message is kept until it goes on, and `NoResponseError` is raised.
         """
         if self.hung:
-            self.held_commands.append(body)
+            self.held_commands.append(lambda: self.execute_and_copy(body))
             raise NoResponseError("hangs")
         self.check_lease()
-        return self.handle_command(body)
+        return self.execute_and_copy(body)
+
+    def execute_and_copy(self, body: Any) -> Reply:
+        """Executes a command message that arrives for the first time; the network may deliver copies of it later."""
+        reply = self.handle_command(body)
+        if reply.status == 200:
+            self.cluster.copy_executed_command(self, body)
+        return reply
+
+    def receive_copy(self, body: Any) -> None:
+        """Receives a late copy of a message that was executed; the answer is lost."""
+        if self.gone or not self.up:
+            return
+        if self.hung:
+            self.held_commands.append(lambda: self.execute_copy(body))
+            return
+        self.check_lease()
+        self.execute_copy(body)
+
+    def execute_copy(self, body: Any) -> None:
+        """Executes a copy like any other message, as the worker cannot tell that it is one."""
+        if self.handle_command(body).status == 200:
+            self.cluster.copies_executed += 1
+        else:
+            self.cluster.copies_refused += 1
 
     def handle_command(self, body: Any) -> Reply:
         """Executes a command message if its token and epoch are valid, and returns the answer."""
@@ -226,7 +254,8 @@
             if command["verb"] == "launch":
                 self.start(name, attempt, task)
             elif task is None or task["try"] != attempt:
-                continue
+                if command["verb"] == "forget":
+                    self.former_attempts.pop((name, attempt), None)
             elif command["verb"] == "forget":
                 if task["phase"] == "exited":
                     del self.tasks[name]
@@ -239,8 +268,15 @@
 
     def start(self, name: str, attempt: int, present: dict[str, Any] | None) -> None:
         """Starts an attempt of a task; `present` is the state of an attempt that the machine already has."""
-        if present is not None and (present["try"] == attempt or present["phase"] != "exited"):
-            return  # a duplicate, or another attempt has not exited: a real worker refuses this start
+        if (name, attempt) in self.former_attempts or (present is not None and present["try"] == attempt):
+            return  # the worker has this attempt already
+        if present is not None and self.remembers_attempts:
+            if present["phase"] != "exited":
+                self.former_attempts[name, attempt] = "in_use"
+                return
+            self.former_attempts[name, present["try"]] = present["cause"]
+        elif present is not None and present["phase"] != "exited":
+            return  # refused, without a trace in the reports
         job = self.cluster.jobs.get(split_task(name)[0])
         state = {"try": attempt, "phase": "fetching", "cause": None, "epoch": self.epoch}
         self.tasks[name] = state
@@ -308,10 +344,16 @@
 
     def restart(self) -> None:
         """Restarts the worker without tasks; its epoch, sequence number and token are reset."""
+        self.restart_in_next_epoch()
+        self.epoch, self.sequence, self.token = 1, 0, 0
+
+    def restart_in_next_epoch(self) -> None:
+        """Restarts the worker without tasks; it continues with the next epoch and knows its token."""
         for name in list(self.tasks):
             self.record_end(name)
         self.tasks.clear()
-        self.epoch, self.sequence, self.token = 1, 0, 0
+        self.former_attempts.clear()
+        self.epoch += 1
         self.lease_renewed_at = self.cluster.now
 
     def die(self) -> None:
