Forgets: each exited attempt of a task on a machine is forgotten, also beside another attempt of it

What callers would see: the reports of a machine on which a task was started again and again grow for good, up to the limit of 64 KiB. Cause: the attempts to forget were kept by task. A worker that reports two exited attempts of one task made them take turns, and each turn began the delay of four leases anew, so neither was ever due.

--- a/stileloft/model/machines.py
+++ b/stileloft/model/machines.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from stileloft.model.inflight_starts import InflightStarts
+from stileloft.model.inflight_starts import AttemptKey, InflightStarts
 from stileloft.model.placements import Placement, TaskKey
 from stileloft.protocol.messages import JobSpec, MachineType
 
@@ -24,9 +24,8 @@
 
 @dataclass(frozen=True, slots=True)
 class PendingForget:
-    """An exited task that the worker has to forget."""
+    """An exited attempt that the worker has to forget."""
 
-    attempt: int
     due_at: float
     """Earliest time of the forget command, by this leader's clock."""
     done: bool
@@ -82,8 +81,8 @@
     placements: dict[TaskKey, Placement] = field(default_factory=dict)
     orphaned_tasks: dict[str, OrphanedTask] = field(default_factory=dict)
     """Tasks that the machine runs but the store does not place there, by name."""
-    pending_forgets: dict[str, PendingForget] = field(default_factory=dict)
-    """Exited tasks that the worker has to forget, by name."""
+    pending_forgets: dict[AttemptKey, PendingForget] = field(default_factory=dict)
+    """Exited attempts that the worker has to forget; a worker may report several attempts of a task."""
     images: dict[str, None] = field(default_factory=dict)
     """Images that the machine probably has; the most recently used one is last."""
     images_recorded: bool = True
--- a/stileloft/workers/command_planner.py
+++ b/stileloft/workers/command_planner.py
@@ -85,16 +85,18 @@
         if not machine.pending_forgets or authority.check_forgets_on(machine) is not None:
             return []
         now = self._clock.seconds()
-        due = [(task, entry) for task, entry in machine.pending_forgets.items() if entry.due_at <= now][:limit]
+        due = [(key, entry) for key, entry in machine.pending_forgets.items() if entry.due_at <= now][:limit]
         allowed = [
-            ForgetCommand(task, entry.attempt)
-            for task, entry in due
-            if not authority.check_forget(machine, task, entry.attempt, entry.done)
+            ForgetCommand(task, attempt)
+            for (task, attempt), entry in due
+            if not authority.check_forget(machine, task, attempt, entry.done)
         ]
         if len(allowed) < len(due):
             self._fencing.fence_for_forgets(machine, now)
         for command in allowed:
-            del machine.pending_forgets[command.task]  # scheduled again if the attempt is reported again
+            del machine.pending_forgets[
+                command.task, command.attempt
+            ]  # scheduled again if the attempt is reported again
             machine.inflight_starts.drop(command.task, command.attempt)
         return allowed
 
--- a/stileloft/workers/forget_scheduler.py
+++ b/stileloft/workers/forget_scheduler.py
@@ -22,7 +22,6 @@
         serve many attempts. A done attempt needs no delay: a late start only makes the worker report the attempt as
         done again.
         """
-        pending = machine.pending_forgets.get(task)
-        if pending is None or pending.attempt != attempt:
+        if (task, attempt) not in machine.pending_forgets:
             wait_s = 0.0 if done else FORGET_DELAY_LEASES * self._lease_s
-            machine.pending_forgets[task] = PendingForget(attempt, self._clock.seconds() + wait_s, done)
+            machine.pending_forgets[task, attempt] = PendingForget(self._clock.seconds() + wait_s, done)
--- a/tests/test_late_copies.py
+++ b/tests/test_late_copies.py
@@ -183,3 +183,23 @@
     if drained:
         leader.releaser.release = lambda *_: None
     cluster.run(45)
+
+
+def test_all_exited_attempts_of_a_task_on_a_machine_are_forgotten() -> None:
+    # Guards against reports that grow for good: two attempts of one task took turns in being due to be forgotten.
+    cluster = SimulatedCluster(5, loss=0.0)
+    cluster.cloud.failed_boot_share = 0.0
+    cluster.cloud.available_types = {"small"}
+    cluster.submit(cluster.job(1, pieces=2, vcpus=8.0, guessS=600.0))
+    cluster.run(40)
+    machine = cluster.checker.machine_by_task["j-000001/0"]
+    machine.remembers_attempts = True
+    for _ in range(3):
+        stop_and_keep_elsewhere_full(cluster, machine, drained=False)
+    assert len({attempt for _, attempt in machine.former_attempts}) <= 3
+    for number in range(12):  # other work, whose commits provide spare tokens
+        cluster.submit(cluster.job(10 + number, vcpus=0.1, guessS=2.0, crew="edge"))
+        cluster.run(10)
+    assert machine.former_attempts == {}
+    assert machine.tasks["j-000001/0"]["phase"] == "running"
+    assert cluster.checker.violations == []
