Fencing: a worker that was restarted with its counters at the start learns a token above all starts at once

Cause: its reports look like old ones, and were answered without a token. Change: such a report (older than the newest, no task, a lower token) is answered with a token above all starts ever sent to the machine, with all stops, under the same bound as other answers; a lower token within a session and an answer to a command that is older than what was known when it left raise the token too.

--- a/stileloft/model/inflight_starts.py
+++ b/stileloft/model/inflight_starts.py
@@ -32,9 +32,13 @@
     """
 
     by_attempt: dict[AttemptKey, InflightStart] = field(default_factory=dict)
+    highest_sent_token: int = 0
+    """The highest token under which any start was sent, in any epoch: a worker that was restarted with its counters at
+    the start takes all of them."""
 
     def record_sent(self, task: str, attempt: int, now: float, token: int, epoch: int) -> None:
         """Records that a message with this start is about to be sent."""
+        self.highest_sent_token = max(self.highest_sent_token, token)
         start = self.by_attempt.get((task, attempt))
         if start is None:
             self.by_attempt[task, attempt] = InflightStart(now, token, epoch)
--- a/stileloft/workers/dispatcher.py
+++ b/stileloft/workers/dispatcher.py
@@ -110,6 +110,7 @@
 
     async def _deliver(self, batch: CommandBatch) -> None:
         machine = batch.machine
+        newest_when_sent = machine.epoch, machine.sequence
         try:
             reply = await self._transmitter.transmit(batch)
         finally:
@@ -117,6 +118,9 @@
         if reply is None:
             return
         with self._cluster.lock:
+            if (reply.heartbeat.epoch, reply.heartbeat.sequence) <= newest_when_sent:
+                # The worker made this heartbeat after the newest one, and yet counts it as older: it was restarted.
+                self._fencing.fence_restarted_worker(machine, self._clock.seconds())
             self._heartbeats.process(reply.heartbeat)
         if not reply.executed and (batch.epoch, batch.token) != (machine.epoch, machine.token):
             self.send(machine)  # refused for a wrong epoch or token, which the heartbeat has corrected
--- a/stileloft/workers/fencing.py
+++ b/stileloft/workers/fencing.py
@@ -93,6 +93,16 @@
         self.request_spare_token(machine, starts)
         return False
 
+    def fence_restarted_worker(self, machine: Machine, now: float) -> None:
+        """Raises the token above those of all starts that were sent to the machine, if there is a spare token.
+
+        A worker that was restarted with its counters at the start knows neither a token nor an attempt, so it executes
+        late copies of these starts until it has seen a higher token.
+        """
+        is_needed = machine.inflight_starts.highest_sent_token >= machine.token
+        if is_needed and self._tokens.has_spare_above(machine.token):
+            self._raise_token(machine, now, "the worker may have been restarted with its counters at the start")
+
     def fence_for_forgets(self, machine: Machine, now: float) -> None:
         """Raises the token so that exited attempts can be forgotten, once a heartbeat has acknowledged the token.
 
--- a/stileloft/workers/heartbeat_responder.py
+++ b/stileloft/workers/heartbeat_responder.py
@@ -53,11 +53,12 @@
         machine = self._machines.get_or_create(heartbeat.machine)
         epoch, sequence = machine.epoch, machine.sequence
         previous_heartbeat_at, was_claimed = machine.last_heartbeat_at, machine.claimed
+        acknowledged_token = machine.acknowledged_token
         self._heartbeats.process(heartbeat)
         if (machine.epoch, machine.sequence) == (epoch, sequence):
-            # This heartbeat is a late duplicate, which is no sign of life, or the original, overtaken by the heartbeat
-            # in an answer to a command. The worker must ignore this answer, as a renewal would not be recorded here.
-            return CommandMessage(NO_TOKEN, [])
+            return self._answer_outdated(machine, heartbeat, now)
+        if machine.epoch == epoch and heartbeat.token < acknowledged_token:
+            self._fencing.fence_restarted_worker(machine, now)  # within an epoch a worker never forgets a token
         if machine.epoch != epoch:
             # The worker has lost its tasks despite the answers to its heartbeats, so answers may not reach it.
             machine.last_reachable_at = float("-inf")
@@ -73,6 +74,19 @@
             self._dispatcher.send(machine)
         return answer
 
+    def _answer_outdated(self, machine: Machine, heartbeat: Heartbeat, now: float) -> CommandMessage:
+        """Returns the answer to a heartbeat that is older than the newest one.
+
+        It is a late duplicate, whose answer nobody receives; or the original, overtaken by the heartbeat in an answer
+        to a command; or from a worker that was restarted with its counters at the start. The last has to learn a token
+        above those of all starts before late copies of them arrive. It still counts as silent, and is released.
+        """
+        if heartbeat.token >= machine.token or heartbeat.tasks:
+            # A worker with tasks that nothing accounts for must not have its lease renewed.
+            return CommandMessage(NO_TOKEN, [])
+        self._fencing.fence_restarted_worker(machine, now)
+        return self._renew_lease(machine, now)
+
     def _renew_lease(self, machine: Machine, now: float) -> CommandMessage:
         """Returns the answer to a heartbeat.
 
--- a/tests/simulation/network.py
+++ b/tests/simulation/network.py
@@ -70,6 +70,8 @@
         self.copies_executed = 0
         """Late copies of messages that a machine executed, with or without an effect."""
         self.copies_refused = 0
+        self.copies_reach_new_workers = True
+        """Whether copies arrive at workers that have no token: restarted ones that no controller has answered yet."""
 
     def copy_executed_command(self, machine: Any, body: Any) -> None:
         """Schedules the late copies of a message that a machine has executed."""
