Fakes: late copies of commands in a module of their own, for clusters of real processes too

The fakes on loopback have the same machines and lacked the method that schedules the copies. A job's failures are remembered by the time since its task was placed, not only since it ran: fetching the image may take longer than the run.

--- a/stileloft/jobs/failure_attribution.py
+++ b/stileloft/jobs/failure_attribution.py
@@ -24,7 +24,7 @@
 FAILURE_RETENTION_LEASES = 3.0
 """How long a job's failures are remembered without another one, in worker leases, beside the time of a further try."""
 FURTHER_TRY_FACTOR = 2.0
-"""A further try may take this multiple of the job's back-off and of the time that its task ran until it failed."""
+"""A further try may take this multiple of the job's back-off and of the time from a placement to its failure."""
 SLOW_FACTOR = 3.0
 """A task that ran longer than this multiple of its job's median run time on other machines counts as slow."""
 MIN_COMPARED_TASKS = 2
@@ -75,8 +75,10 @@
     def _extend_failures(self, job: Job, placement: Placement) -> None:
         """Keeps the job's failures until a further try would have failed too, if its tasks still fail."""
         now = self._clock.seconds()
-        ran_s = 0.0 if placement.running_since is None else now - placement.running_since
-        further_try_s = FURTHER_TRY_FACTOR * (job.backoff_s + ran_s)
+        began_at = now if placement.running_since is None else placement.running_since
+        if placement.placed_by_this_leader:
+            began_at = min(began_at, job.last_placed_at)  # the image may have taken longer than the task ran
+        further_try_s = FURTHER_TRY_FACTOR * (job.backoff_s + now - began_at)
         job.failures_expire_at = now + FAILURE_RETENTION_LEASES * self._worker_lease_s + further_try_s
 
     def record_success(self, job: Job) -> None:
--- a/tests/loopback_cluster.py
+++ b/tests/loopback_cluster.py
@@ -29,6 +29,7 @@
 from stileloft.transport.client import Client, ConnectionFailedError, NoResponseError, Reply
 from tests.rules import RuleChecker
 from tests.simulation.cloud import Cloud
+from tests.simulation.command_copies import CopyingNetwork
 from tests.simulation.deployment import SETTINGS, with_settings
 from tests.simulation.gangs import Gang
 from tests.simulation.state_service import StateService
@@ -134,7 +135,7 @@
     took_s: float = 0.0
 
 
-class LoopbackCluster(Users):
+class LoopbackCluster(CopyingNetwork, Users):
     """Controller processes, users, and the fakes that the controllers are connected to, on real time and sockets."""
 
     REPORT_S, LEASE_S, CANCEL_S, LEASE_CHECK_S = 0.5, 4.0, 14.0, 0.1
--- a/tests/simulation/network.py
+++ b/tests/simulation/network.py
@@ -8,6 +8,7 @@
 from twisted.internet import defer
 
 from stileloft.transport.client import ConnectionFailedError, NoResponseError
+from tests.simulation.command_copies import CopyingNetwork
 
 
 @dataclass(frozen=True)
@@ -39,23 +40,7 @@
         )
 
 
-@dataclass(frozen=True)
-class CommandCopies:
-    """A fault: of each direct message that a machine has executed and answered, copies arrive late."""
-
-    until: float
-    """Simulated time at which the fault ends; copies of messages executed by then still arrive."""
-    delays_s: tuple[float, ...]
-    """When the copies of a message arrive, in seconds after the original was executed."""
-    verb: str = "launch"
-    """Restricts the fault to messages with such a command."""
-
-    def applies_to(self, now: float, body: Any) -> bool:
-        """Whether the fault is active at `now` and covers this message."""
-        return now < self.until and any(order["verb"] == self.verb for order in body["orders"])
-
-
-class Network:
+class Network(CopyingNetwork):
     """The part of the simulated cluster that transmits requests and answers."""
 
     def init_network(self) -> None:
@@ -66,18 +51,6 @@
         """Messages that are delivered at the end of a partition, each with its pair of hosts."""
         self.message_delays: list[MessageDelay] = []
         """Delay faults; a message is delayed by the first one that covers it and selects it by its share."""
-        self.command_copies: CommandCopies | None = None
-        self.copies_executed = 0
-        """Late copies of messages that a machine executed, with or without an effect."""
-        self.copies_refused = 0
-        self.copies_reach_new_workers = True
-        """Whether copies arrive at workers that have no token: restarted ones that no controller has answered yet."""
-
-    def copy_executed_command(self, machine: Any, body: Any) -> None:
-        """Schedules the late copies of a message that a machine has executed."""
-        if self.command_copies is not None and self.command_copies.applies_to(self.now, body):
-            for delay_s in self.command_copies.delays_s:
-                self.clock.callLater(delay_s, machine.receive_copy, body)
 
     def message_delay_s(self, target: str, body: Any) -> tuple[float, float]:
         """Returns the additional delays of a message to a machine and of its answer, in seconds."""
--- a/tests/test_late_copies.py
+++ b/tests/test_late_copies.py
@@ -9,8 +9,8 @@
 import pytest
 
 from tests.simulation.cluster import SimulatedCluster
+from tests.simulation.command_copies import CommandCopies
 from tests.simulation.faults import hang_machines, reclaim_spot_machines
-from tests.simulation.network import CommandCopies
 from tests.simulation.timed_faults import Fault, no_fault, outage, refuse_leader, restart_leaders
 from tests.simulation.workers import Machine
 from tests.simulation.workloads import run_until_jobs_end
