Soak: late copies of every start command, and machines that hang for up to two leases

The bound is now two leases, still below cancel_s: while the cloud is out, nobody can end a hanging machine's tasks.

--- a/tests/soak/cluster.py
+++ b/tests/soak/cluster.py
@@ -1,6 +1,7 @@
 """The cluster of a soak run: three controller processes, a plan of troubles, users, and a checker of the rules."""
 
 import argparse
+import math
 import os
 import random
 import re
@@ -15,6 +16,7 @@
 from stileloft.protocol.users import HEARTBEAT_PATH
 from stileloft.transport.client import Client, ConnectionFailedError, NoResponseError, Reply
 from tests.loopback_cluster import LOCAL, LoopbackCloud, LoopbackCluster, LoopbackMachine
+from tests.simulation.command_copies import CommandCopies
 from tests.simulation.deployment import MACHINE_TYPES, with_settings
 from tests.simulation.workers import Machine
 from tests.soak.links import Fault, Links
@@ -111,6 +113,8 @@
 
     MANY_REPORT_S, MANY_LEASE_S, MANY_CANCEL_S = 1.0, 8.0, 22.0
     """Longer times for plans with `machines`: some hundred workers share one process with all other fakes."""
+    command_copies = CommandCopies(math.inf, (0.2, 1.5, 7.0))
+    """Of each start command that a worker executes, copies arrive within a lease and after it."""
 
     def __init__(self, plan: Plan) -> None:
         self.plan = plan
@@ -401,10 +405,13 @@
         return [m for m in self.cloud.machines.values() if m.up and self.random.random() < trouble.share]
 
     def _hang(self, trouble: Trouble) -> None:
-        """Suspends workers for less than a lease."""
+        """Suspends workers for up to two leases.
+
+        That is less than `CANCEL_S`: while the cloud is out, nobody can end the tasks of a suspended worker.
+        """
         for machine in self._random_machines(trouble):
             machine.hung = True
-            reactor.callLater(min(trouble.for_s, 0.8 * self.LEASE_S), self._resume_machine, machine)
+            reactor.callLater(min(trouble.for_s, 2.0 * self.LEASE_S), self._resume_machine, machine)
 
     @staticmethod
     def _resume_machine(machine: Machine) -> None:
