--- a/tests/test_fence_histories.py
+++ b/tests/test_fence_histories.py
@@ -5,6 +5,8 @@
 from hypothesis.stateful import RuleBasedStateMachine, initialize, precondition, rule
 
 from tests.simulation.cluster import SimulatedCluster
+from tests.simulation.command_copies import CommandCopies
+from tests.simulation.faults import hang_machines
 from tests.simulation.network import MessageDelay
 from tests.simulation.workloads import run_until_jobs_end
 
@@ -75,6 +77,20 @@
         self.cluster.duplicate_share = 0.1
         self.cluster.clock.callLater(seconds, setattr, self.cluster, "duplicate_share", 0.0)
 
+    @rule(which=st.integers(0, 20), seconds=st.floats(1.0, 25.0))
+    def hang_machines(self, which: int, seconds: float) -> None:
+        """Hangs machines for less than `cancel_s`: while the cloud is out, nobody can end their tasks."""
+        machines = [machine for machine in self.cluster.cloud.machines.values() if machine.up and not machine.hung]
+        hang_machines(machines[which : which + 2], seconds)
+
+    @rule(seconds=st.floats(1.0, 40.0))
+    def cloud_outage(self, seconds: float) -> None:
+        self.cluster.cloud.down_until = self.cluster.now + seconds
+
+    @rule(delay_s=st.floats(0.1, 120.0))
+    def copy_commands(self, delay_s: float) -> None:
+        self.cluster.command_copies = CommandCopies(self.cluster.now + 10.0, (0.3 * delay_s, delay_s))
+
     @rule(seconds=st.floats(0.1, 15.0))
     def run_checking_cancellations(self, seconds: float) -> None:
         end = self.cluster.now + seconds
