Clean-up: what a heartbeat shows of reachability in a function of its own; faults that stood twice in the tests

Behaviour is unchanged: the digests of tests/test_wire_trace.py are the same.

Measured: test_machine_recovery, test_silent_machines, test_wire_trace, test_rules and test_late_copies (without restarted workers) 135 passed; the first two once more after the last change of the tests.

--- a/stileloft/workers/heartbeat_responder.py
+++ b/stileloft/workers/heartbeat_responder.py
@@ -1,6 +1,7 @@
 """Answers to heartbeats: an answer either renews the worker's lease or is ignored by the worker."""
 
 import logging
+from dataclasses import dataclass
 
 from stileloft.machines.registry import MachineRegistry
 from stileloft.model.machines import Machine
@@ -24,6 +25,24 @@
 """The token of an answer that the worker ignores, and that renews no lease."""
 
 
+@dataclass(frozen=True, slots=True)
+class _FormerState:
+    """What was known of a machine before a heartbeat was processed."""
+
+    epoch: int
+    sequence: int
+    acknowledged_token: int
+    last_heartbeat_at: float
+    claimed: bool
+
+    @classmethod
+    def of(cls, machine: Machine) -> "_FormerState":
+        """Returns the current state of a machine."""
+        return cls(
+            machine.epoch, machine.sequence, machine.acknowledged_token, machine.last_heartbeat_at, machine.claimed
+        )
+
+
 class HeartbeatResponder:
     """Answers workers' heartbeats. Called with the cluster's lock held."""
 
@@ -51,23 +70,13 @@
         """Processes a heartbeat and returns the answer to it."""
         now = self._clock.seconds()
         machine = self._machines.get_or_create(heartbeat.machine)
-        epoch, sequence = machine.epoch, machine.sequence
-        previous_heartbeat_at, was_claimed = machine.last_heartbeat_at, machine.claimed
-        acknowledged_token = machine.acknowledged_token
+        former = _FormerState.of(machine)
         self._heartbeats.process(heartbeat)
-        if (machine.epoch, machine.sequence) == (epoch, sequence):
+        if (machine.epoch, machine.sequence) == (former.epoch, former.sequence):
             return self._answer_outdated(machine, heartbeat, now)
-        if machine.epoch == epoch and heartbeat.token < acknowledged_token:
+        if machine.epoch == former.epoch and heartbeat.token < former.acknowledged_token:
             self._fencing.fence_restarted_worker(machine, now)  # within an epoch a worker never forgets a token
-        if machine.epoch != epoch:
-            # The worker has lost its tasks despite the answers to its heartbeats, so answers may not reach it.
-            machine.last_reachable_at = float("-inf")
-        elif was_claimed and now - previous_heartbeat_at < UNANSWERED_RETRY_S:
-            # The answer to the previous heartbeat reached the worker: without an answer, it would not have sent another
-            # heartbeat to this controller so soon. A previous heartbeat that was delayed would prove nothing, so the
-            # machine counts as reachable only if the worker was already known to have the leader's token
-            # (`was_claimed`).
-            machine.last_reachable_at = max(machine.last_reachable_at, previous_heartbeat_at)
+        _update_reachability(machine, former, now)
         machine.last_pushed_heartbeat_at = now
         answer = self._renew_lease(machine, now)
         if not machine.has_current_token or (not machine.command_in_flight and self._planner.due_starts(machine)):
@@ -118,3 +127,15 @@
             return CommandMessage(NO_TOKEN, [])
         commands: list[Command] = [*stops, *self._planner.due_forgets(machine, MAX_COMMANDS_PER_ANSWER - len(stops))]
         return CommandMessage(machine.token, commands)
+
+
+def _update_reachability(machine: Machine, former: _FormerState, now: float) -> None:
+    """Records what a new heartbeat shows of whether answers reach the worker."""
+    if machine.epoch != former.epoch:
+        # The worker has lost its tasks despite the answers to its heartbeats, so answers may not reach it.
+        machine.last_reachable_at = float("-inf")
+    elif former.claimed and now - former.last_heartbeat_at < UNANSWERED_RETRY_S:
+        # The answer to the previous heartbeat reached the worker: without an answer, it would not have sent another
+        # heartbeat to this controller so soon. A previous heartbeat that was delayed would prove nothing, so the
+        # machine counts as reachable only if the worker was already known to have the leader's token.
+        machine.last_reachable_at = max(machine.last_reachable_at, former.last_heartbeat_at)
--- a/tests/simulation/timed_faults.py
+++ b/tests/simulation/timed_faults.py
@@ -43,6 +43,13 @@
     return lambda cluster: cluster.state.outage(seconds)
 
 
+def cloud_outage(seconds: float) -> Fault:
+    def start(cluster: SimulatedCluster) -> None:
+        cluster.cloud.down_until = cluster.now + seconds
+
+    return start
+
+
 def slow_state_service(seconds: float, longest_s: float = 0.6) -> Fault:
     def start(cluster: SimulatedCluster) -> None:
         cluster.state.slow_responses = cluster.now + seconds, longest_s
--- a/tests/test_late_copies.py
+++ b/tests/test_late_copies.py
@@ -11,7 +11,7 @@
 from tests.simulation.cluster import SimulatedCluster
 from tests.simulation.command_copies import CommandCopies
 from tests.simulation.faults import hang_machines, reclaim_spot_machines
-from tests.simulation.timed_faults import Fault, no_fault, outage, refuse_leader, restart_leaders
+from tests.simulation.timed_faults import Fault, cloud_outage, no_fault, outage, refuse_leader, restart_leaders
 from tests.simulation.workers import Machine
 from tests.simulation.workloads import run_until_jobs_end
 
@@ -78,13 +78,6 @@
     return start
 
 
-def cloud_outage(seconds: float) -> Fault:
-    def start(cluster: SimulatedCluster) -> None:
-        cluster.cloud.down_until = cluster.now + seconds
-
-    return start
-
-
 FAULTS: dict[str, list[tuple[float, Fault]]] = {
     "no other fault": [(0.0, no_fault)],
     "tasks are stopped and start elsewhere": [(20.0, drain_machines), (40.0, drain_machines), (60.0, drain_machines)],
--- a/tests/test_machine_recovery.py
+++ b/tests/test_machine_recovery.py
@@ -1,5 +1,7 @@
 """Machines that could not be used for a while are used again: each mark on them clears without a change of leader."""
 
+from collections.abc import Callable
+
 import pytest
 
 from stileloft.leadership.authority import Authority, Refusal
@@ -78,43 +80,32 @@
     return start
 
 
-def refuse_command_connections(seconds: float) -> Fault:
+def refuse_commands(seconds: float, refuse: Callable[[], Reply]) -> Fault:
+    """Returns a fault: the machines do not execute commands, and `refuse` answers in their place."""
 
     def start(cluster: SimulatedCluster) -> None:
         until = cluster.now + seconds
         for machine in machines_up(cluster):
             command = machine.command
 
-            def refuse(body: object, command=command) -> Reply:
-                if cluster.now >= until:
-                    return command(body)
-                raise ConnectionFailedError("refused")
+            def execute_or_refuse(body: object, command=command) -> Reply:
+                return refuse() if cluster.now < until else command(body)
 
-            machine.command = refuse  # type: ignore[method-assign]
+            machine.command = execute_or_refuse  # type: ignore[method-assign]
 
     return start
 
 
-def answer_commands_with_an_error(seconds: float) -> Fault:
-    def start(cluster: SimulatedCluster) -> None:
-        until = cluster.now + seconds
-        for machine in machines_up(cluster):
-            command = machine.command
-
-            def refuse(body: object, command=command) -> Reply:
-                return command(body) if cluster.now >= until else Reply(500, {})
-
-            machine.command = refuse  # type: ignore[method-assign]
-
-    return start
+def refuse_connection() -> Reply:
+    raise ConnectionFailedError("refused")
 
 
 FAULTS: dict[str, Fault] = {
     "commands are held up for 6 s": hold_commands(6.5, 6.0),
     "commands are held up for 10 s": hold_commands(FAULT_S, 7.0),
     "commands are held up for up to 9 s": delay_commands(FAULT_S),
-    "connections for commands are refused": refuse_command_connections(FAULT_S),
-    "commands are answered with an error": answer_commands_with_an_error(FAULT_S),
+    "connections for commands are refused": refuse_commands(FAULT_S, refuse_connection),
+    "commands are answered with an error": refuse_commands(FAULT_S, lambda: Reply(500, {})),
     "nothing reaches the machines": block_one_direction("inbound_blocked", FAULT_S, step=1),
     "the machines reach nobody": block_one_direction("outbound_blocked", 4.0, step=1),
     "the machines hang": hang_every_nth_machine(4.0, step=1),
--- a/tests/test_silent_machines.py
+++ b/tests/test_silent_machines.py
@@ -10,7 +10,7 @@
 
 from tests.simulation.cluster import SimulatedCluster
 from tests.simulation.faults import crash_leader
-from tests.simulation.timed_faults import Fault, outage, refuse_leader_for, restart_leaders
+from tests.simulation.timed_faults import Fault, cloud_outage, outage, refuse_leader_for, restart_leaders
 from tests.simulation.workers import Machine
 from tests.simulation.workloads import run_until_jobs_end
 from tests.test_rebuild import REBUILD_ENABLED
@@ -20,13 +20,6 @@
 MAX_FAULT_S = 110.0
 
 
-def cloud_outage(seconds: float) -> Fault:
-    def start(cluster: SimulatedCluster) -> None:
-        cluster.cloud.down_until = cluster.now + seconds
-
-    return start
-
-
 def machines_with_tasks(cluster: SimulatedCluster) -> list[Machine]:
     return list(dict.fromkeys(cluster.checker.machine_by_task.values()))
 
